--- /dev/null
+++ b/bench/_lib/runScenario.ts
@@ -0,0 +1,81 @@
+/** Runs a scenario once, with or without nodes. */
+import { readFileSync } from "node:fs";
+import { type ActionRecord, type CallersConfig } from "../../src/standins/types";
+import { type RunSummary, type Scenario } from "../types";
+import { Cluster, type ClusterOptions } from "./cluster";
+import { summarizeRun } from "./summarize";
+
+/** Something that happens at a set time of a run. */
+export interface TimedStep {
+    readonly atMs: number;
+    readonly run: (cluster: Cluster) => Promise<void>;
+}
+
+/** What a run does besides its load and trigger. */
+export interface RunOptions extends ClusterOptions {
+    readonly label: string;
+    readonly steps?: readonly TimedStep[];
+    readonly showProgress: (text: string) => void;
+}
+
+const awaitUntil = (startedAtMs: number, atMs: number): Promise<void> =>
+    new Promise(resolve => {
+        setTimeout(resolve, Math.max(0, startedAtMs + atMs - performance.now()));
+    });
+
+const listTriggerSteps = (scenario: Scenario, options: RunOptions): readonly TimedStep[] => [
+    {
+        atMs: scenario.triggerStartMs,
+        run: cluster => {
+            options.showProgress(`${scenario.triggerService} is ${scenario.triggerFactor} times slower from now on`);
+            return cluster.updateWorkFactor(scenario.triggerService, scenario.triggerFactor);
+        },
+    },
+    {
+        atMs: scenario.triggerEndMs,
+        run: cluster => {
+            options.showProgress(`${scenario.triggerService} has its old speed again`);
+            return cluster.updateWorkFactor(scenario.triggerService, 1);
+        },
+    },
+];
+
+const runSteps = async (cluster: Cluster, steps: readonly TimedStep[]): Promise<void> => {
+    const startedAtMs = performance.now();
+    await Promise.all(steps.map(async step => {
+        await awaitUntil(startedAtMs, step.atMs);
+        await step.run(cluster);
+    }));
+};
+
+/** Runs a scenario and summarizes it. */
+export const runScenario = async (scenario: Scenario, options: RunOptions): Promise<RunSummary> => {
+    const cluster = new Cluster(scenario, options);
+    try {
+        options.showProgress("starting the processes");
+        await cluster.start();
+        const callers: CallersConfig = {
+            seed: scenario.seed,
+            entries: cluster.listEntries(),
+            classes: scenario.classes,
+            durationMs: scenario.durationMs,
+            attemptTimeoutMs: scenario.attemptTimeoutMs,
+            attempts: scenario.attempts,
+        };
+        const configFile = cluster.writeFile("callers.json", callers);
+        const resultFile = `${options.folder}/actions.json`;
+        options.showProgress(`load for ${scenario.durationMs / 1_000} s`);
+        const load = cluster.processes.run({
+            name: "callers",
+            file: process.execPath,
+            args: [`${options.distFolder}/standins.cjs`, "callers", configFile, resultFile],
+        });
+        await runSteps(cluster, [...listTriggerSteps(scenario, options), ...(options.steps ?? [])]);
+        await load;
+        const records = JSON.parse(readFileSync(resultFile, "utf8")) as readonly ActionRecord[];
+        return summarizeRun(options.label, records, await cluster.readReports(), scenario);
+    }
+    finally {
+        await cluster.stop();
+    }
+};
--- /dev/null
+++ b/src/commands/_lib/renderTable.ts
@@ -0,0 +1,31 @@
+import Table from "cli-table3";
+
+const plainCharacters = {
+    top: "",
+    "top-mid": "",
+    "top-left": "",
+    "top-right": "",
+    bottom: "",
+    "bottom-mid": "",
+    "bottom-left": "",
+    "bottom-right": "",
+    left: "",
+    "left-mid": "",
+    mid: "",
+    "mid-mid": "",
+    right: "",
+    "right-mid": "",
+    middle: "  ",
+};
+
+/** Renders rows as an aligned table without lines. */
+export const renderTable = (head: readonly string[], rows: readonly (readonly (string | number)[])[]): string => {
+    const table = new Table({
+        head: [...head],
+        chars: plainCharacters,
+        style: { head: [], border: [], "padding-left": 0, "padding-right": 0 },
+    });
+    rows.forEach(row => table.push([...row]));
+    const lines = table.toString().split("\n").map(line => line.trimEnd());
+    return `${lines.join("\n")}\n`;
+};
--- /dev/null
+++ b/src/commands/_lib/results.ts
@@ -0,0 +1,28 @@
+import { type Fault } from "../../types";
+import { type CommandResult, exitDone, exitRefused, exitUsage } from "../types";
+
+/** Creates the result of a command that has done its work. */
+export const createDone = (output: string): CommandResult => ({ code: exitDone, output, errors: "" });
+
+/** Creates the result of a command whose input has faults: one line each, with file and path. */
+export const createRefusal = (file: string, faults: readonly Fault[], json = false): CommandResult => {
+    if (json) {
+        return {
+            code: exitRefused,
+            output: `${JSON.stringify({ ok: false, file, faults }, undefined, 4)}\n`,
+            errors: "",
+        };
+    }
+    const lines = faults.map(fault => `${file}: ${fault.path}: ${fault.message}\n`);
+    return { code: exitRefused, output: "", errors: lines.join("") };
+};
+
+/** Creates the result of a command that was called wrongly. */
+export const createUsageError = (message: string): CommandResult => ({
+    code: exitUsage,
+    output: "",
+    errors: `${message}\n`,
+});
+
+/** Formats a value as indented JSON with a line end. */
+export const formatJson = (value: unknown): string => `${JSON.stringify(value, undefined, 4)}\n`;
--- /dev/null
+++ b/src/commands/createProgram.ts
@@ -0,0 +1,172 @@
+/** Command line of the program. */
+import { type CAC, cac } from "cac";
+import { type ChangeNote } from "../policy/types";
+import { listNodes, type NodeAddress, parseAddress } from "./_lib/queryNodes";
+import { createDone, createUsageError } from "./_lib/results";
+import { runAudit } from "./runAudit";
+import { runNode } from "./runNode";
+import { checkPolicyFile, createPolicyFile, listPolicyFile, patchPolicyFile, renderPolicyFile } from "./runPolicy";
+import { checkSettingsFile, renderSchema } from "./runSettings";
+import { runStatus } from "./runStatus";
+import { type CommandResult } from "./types";
+
+interface NoteOptions {
+    readonly author?: string;
+    readonly reason?: string;
+    readonly time?: string;
+}
+
+interface NodesOptions {
+    readonly platform?: string;
+    readonly instances: string;
+    readonly node?: string | readonly string[];
+    readonly json?: boolean;
+}
+
+type Report = (result: CommandResult) => void;
+
+const readNote = (options: NoteOptions): ChangeNote | undefined =>
+    options.author && options.reason
+        ? {
+            author: String(options.author),
+            reason: String(options.reason),
+            time: options.time ?? new Date().toISOString(),
+        }
+        : undefined;
+
+const createMissingNote = (): CommandResult => createUsageError("--author and --reason are needed");
+
+const listAskedNodes = async (options: NodesOptions): Promise<readonly NodeAddress[] | undefined> => {
+    const names = options.node === undefined ? [] : [options.node].flat();
+    const addresses = names.map(name => ({ endpoint: name, control: parseAddress(name) }));
+    if (addresses.length > 0) {
+        return addresses.every(address => address.control) ? addresses as readonly NodeAddress[] : undefined;
+    }
+    return options.platform ? listNodes(options.platform, options.instances) : undefined;
+};
+
+const runOnNodes = async (
+    options: NodesOptions,
+    run: (nodes: readonly NodeAddress[], json: boolean) => Promise<CommandResult>,
+): Promise<CommandResult> => {
+    try {
+        const nodes = await listAskedNodes(options);
+        return nodes
+            ? await run(nodes, options.json === true)
+            : createUsageError("--platform HOST:PORT or --node HOST:PORT is needed");
+    }
+    catch (error) {
+        return createUsageError(`the instance list can't be read: ${(error as Error).message}`);
+    }
+};
+
+const addPolicyCommands = (program: CAC, report: Report): void => {
+    program
+        .command("policy <action> <file>", "Create, patch, check, show or list the versions of a policy log")
+        .option("--log <file>", "create: the log file to write")
+        .option("--against <version>", "patch: the version that the patch was made against")
+        .option("--patch <file>", "patch: a JSON Patch (RFC 6902)")
+        .option("--version <version>", "show: the version, by default the latest one")
+        .option("--author <name>", "create, patch: who makes the change")
+        .option("--reason <text>", "create, patch: why")
+        .option("--time <time>", "create, patch: time of the change in ISO 8601, by default now")
+        .option("--json", "Output for machines")
+        .example("pomelovalve policy create policy.json --log ertis.log.json --author aida --reason 'first version'")
+        .example(
+            "pomelovalve policy patch ertis.log.json --against 1 --patch patch.json --author aida --reason 'shorter queue'",
+        )
+        .example("pomelovalve policy check ertis.log.json")
+        .example("pomelovalve policy show ertis.log.json --version 1")
+        .example("pomelovalve policy log ertis.log.json")
+        .action((action: string, file: string, options: Readonly<Record<string, unknown>>) =>
+            report(runPolicyAction(action, file, options))
+        );
+};
+
+const runPolicyAction = (action: string, file: string, options: Readonly<Record<string, unknown>>): CommandResult => {
+    const note = readNote(options as NoteOptions);
+    const isJson = options["json"] === true;
+    switch (action) {
+        case "create":
+            if (!options["log"]) {
+                return createUsageError("--log is needed");
+            }
+            return note ? createPolicyFile(file, String(options["log"]), note) : createMissingNote();
+        case "patch":
+            if (!options["patch"] || !Number.isInteger(options["against"])) {
+                return createUsageError("--patch FILE and --against VERSION are needed");
+            }
+            return note
+                ? patchPolicyFile(file, String(options["patch"]), Number(options["against"]), note)
+                : createMissingNote();
+        case "check":
+            return checkPolicyFile(file, isJson);
+        case "show":
+            return renderPolicyFile(file, options["version"] as number | undefined);
+        case "log":
+            return listPolicyFile(file, isJson);
+        default:
+            return createUsageError(`unknown action "${action}"; known are create, patch, check, show, log`);
+    }
+};
+
+const addNodeQuery = (
+    program: CAC,
+    name: string,
+    description: string,
+    run: (options: NodesOptions) => Promise<CommandResult>,
+    report: Report,
+): void => {
+    program
+        .command(name, description)
+        .option("--platform <address>", "Platform from which the instance list is read")
+        .option("--instances <key>", "Key of the instance list", { default: "instances" })
+        .option("--node <address>", "Control address of a node, in place of the list; may be repeated")
+        .option("--json", "Output for machines")
+        .example(`pomelovalve ${name} --platform 127.0.0.1:7000`)
+        .example(`pomelovalve ${name} --node 127.0.0.1:7103 --json`)
+        .action(async (options: NodesOptions) => report(await run(options)));
+};
+
+/** Creates the command line; each command reports its result once. */
+export const createProgram = (report: Report): CAC => {
+    const program = cac("pomelovalve");
+    program
+        .command("node", "Run the node of one upstream")
+        .option("--settings <file>", "Settings file of the node")
+        .example("pomelovalve node --settings node.json")
+        .action(async (options: { readonly settings?: string; }) =>
+            report(options.settings ? await runNode(options.settings) : createUsageError("--settings is needed"))
+        );
+    addPolicyCommands(program, report);
+    addNodeQuery(
+        program,
+        "status",
+        "Show what is in force and where",
+        options => runOnNodes(options, runStatus),
+        report,
+    );
+    addNodeQuery(program, "audit", "Show the trail of changes", options => runOnNodes(options, runAudit), report);
+    program
+        .command("settings <action> <subject>", "Check a settings file, or print a JSON Schema")
+        .option("--json", "Output for machines")
+        .example("pomelovalve settings check node.json")
+        .example("pomelovalve settings schema settings   (or policy, policy-log)")
+        .action((action: string, subject: string, options: { readonly json?: boolean; }) => {
+            if (action === "check") {
+                report(checkSettingsFile(subject, options.json === true));
+                return;
+            }
+            report(
+                action === "schema"
+                    ? renderSchema(subject)
+                    : createUsageError(`unknown action "${action}"; known are check, schema`),
+            );
+        });
+    program
+        .command("version", "Show the version of the program")
+        .example("pomelovalve version")
+        .action(() => report(createDone(`${process.env["POMELOVALVE_VERSION"] ?? "development"}\n`)));
+    program.help();
+    return program;
+};
--- /dev/null
+++ b/src/commands/runAudit/index.ts
@@ -0,0 +1,39 @@
+/** Shows the trail of changes of all reachable nodes, in time order. */
+import logfmt from "logfmt";
+import { type AuditEntry } from "../../tasks/audit";
+import { type NodeAddress, type NodeAnswer, queryNodes } from "../_lib/queryNodes";
+import { createDone, formatJson } from "../_lib/results";
+import { type CommandResult } from "../types";
+
+const compareEntries = (first: AuditEntry, second: AuditEntry): number =>
+    first.time.localeCompare(second.time) || first.endpoint.localeCompare(second.endpoint)
+    || first.sequence - second.sequence;
+
+/** Merges the trails of the nodes that answered. */
+export const mergeTrails = (answers: readonly NodeAnswer<readonly AuditEntry[]>[]): readonly AuditEntry[] =>
+    answers.flatMap(answer => answer.reached ? answer.value : []).sort(compareEntries);
+
+const formatEntry = (entry: AuditEntry): string =>
+    logfmt.stringify({
+        time: entry.time,
+        endpoint: entry.endpoint,
+        sequence: entry.sequence,
+        event: entry.event,
+        ...entry.fields,
+    });
+
+const formatUnreached = (answer: NodeAnswer<readonly AuditEntry[]>): readonly string[] =>
+    answer.reached
+        ? []
+        : [logfmt.stringify({ event: "node-unreachable", endpoint: answer.node.endpoint, detail: answer.detail })];
+
+/** Queries the trails of all nodes. */
+export const runAudit = async (nodes: readonly NodeAddress[], json: boolean): Promise<CommandResult> => {
+    const answers = await queryNodes(nodes, (client, signal) => client.audit.query({ after: 0 }, { signal }));
+    if (json) {
+        const unreached = answers.filter(answer => !answer.reached);
+        return createDone(formatJson({ entries: mergeTrails(answers), unreached }));
+    }
+    const lines = [...mergeTrails(answers).map(formatEntry), ...answers.flatMap(formatUnreached)];
+    return createDone(lines.map(line => `${line}\n`).join(""));
+};
--- /dev/null
+++ b/src/commands/runNode/index.ts
@@ -0,0 +1,37 @@
+/** Runs a node until it is told to stop. */
+import { createLogger } from "../../_lib/createLogger";
+import { parseSettings } from "../../settings/parseSettings";
+import { PomelovalveNode } from "../../tasks/node";
+import { readTextFile } from "../_lib/readFile";
+import { createDone, createRefusal } from "../_lib/results";
+import { type CommandResult } from "../types";
+
+const awaitStopSignal = (): Promise<string> =>
+    new Promise(resolve => {
+        ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => resolve(signal)));
+    });
+
+/** Runs a node by its settings file; returns after a graceful shutdown. */
+export const runNode = async (settingsFile: string): Promise<CommandResult> => {
+    const text = readTextFile(settingsFile);
+    const checked = text.ok ? parseSettings(text.value) : text;
+    if (!checked.ok) {
+        return createRefusal(settingsFile, checked.faults);
+    }
+    const settings = checked.value;
+    const { endpoint, service, failureDomain } = settings;
+    const logger = createLogger(settings.logLevel, { endpoint, service, domain: failureDomain });
+    const node = new PomelovalveNode(settings, logger);
+    try {
+        await node.start();
+    }
+    catch (error) {
+        return createRefusal(settingsFile, [{ path: "$.listen", message: (error as Error).message }]);
+    }
+    logger.info("node-started");
+    const signal = await awaitStopSignal();
+    logger.info({ signal }, "stop-requested");
+    await node.drain();
+    logger.info("node-stopped");
+    return createDone("");
+};
--- /dev/null
+++ b/src/commands/runPolicy/index.ts
@@ -0,0 +1,128 @@
+/** Commands on policy files. None of them writes to the platform. */
+import { existsSync } from "node:fs";
+import { parseJson } from "../../_lib/parseJson";
+import { createPolicyLog } from "../../policy/createPolicyLog";
+import { deriveChain } from "../../policy/deriveChain";
+import { parsePolicyLog } from "../../policy/parsePolicyLog";
+import { patchPolicyLog } from "../../policy/patchPolicyLog";
+import { type ChangeNote, type PolicyChain, type PolicyLog } from "../../policy/types";
+import { type Checked } from "../../types";
+import { readTextFile, writeTextFile } from "../_lib/readFile";
+import { renderTable } from "../_lib/renderTable";
+import { createDone, createRefusal, createUsageError, formatJson } from "../_lib/results";
+import { type CommandResult } from "../types";
+
+const shownDigestDigits = 12;
+
+const loadLog = (file: string): Checked<PolicyLog> => {
+    const text = readTextFile(file);
+    return text.ok ? parsePolicyLog(text.value) : text;
+};
+
+const loadJson = (file: string): Checked<unknown> => {
+    const text = readTextFile(file);
+    return text.ok ? parseJson(text.value) : text;
+};
+
+/** Creates a policy log from a policy, as version 1. */
+export const createPolicyFile = (policyFile: string, logFile: string, note: ChangeNote): CommandResult => {
+    if (existsSync(logFile)) {
+        return createRefusal(logFile, [{ path: "$", message: "exists already; change it with `policy patch`" }]);
+    }
+    const input = loadJson(policyFile);
+    const log = input.ok ? createPolicyLog(input.value, note) : input;
+    if (!log.ok) {
+        return createRefusal(policyFile, log.faults);
+    }
+    writeTextFile(logFile, formatJson(log.value));
+    return createDone(`${logFile}: version 1 ${log.value.snapshot.digest.slice(0, shownDigestDigits)}\n`);
+};
+
+/** Appends a patch to a policy log, against a numbered version. */
+export const patchPolicyFile = (
+    logFile: string,
+    patchFile: string,
+    against: number,
+    note: ChangeNote,
+): CommandResult => {
+    const log = loadLog(logFile);
+    if (!log.ok) {
+        return createRefusal(logFile, log.faults);
+    }
+    const patch = loadJson(patchFile);
+    const patched = patch.ok ? patchPolicyLog(log.value, against, patch.value, note) : patch;
+    if (!patched.ok) {
+        return createRefusal(patchFile, patched.faults);
+    }
+    writeTextFile(logFile, formatJson(patched.value));
+    const latest = patched.value.entries[patched.value.entries.length - 1]!;
+    return createDone(`${logFile}: version ${latest.version} ${latest.digest.slice(0, shownDigestDigits)}\n`);
+};
+
+/** Checks a policy log: its shape, its versions and the entries that do not count. */
+export const checkPolicyFile = (logFile: string, json: boolean): CommandResult => {
+    const log = loadLog(logFile);
+    if (!log.ok) {
+        return createRefusal(logFile, log.faults, json);
+    }
+    const chain = deriveChain(log.value);
+    if (chain.rejected.length > 0) {
+        const faults = chain.rejected.map(({ entry, reason }) => ({
+            path: `$.entries[${log.value.entries.indexOf(entry)}]`,
+            message: reason,
+        }));
+        return createRefusal(logFile, faults, json);
+    }
+    const { version } = chain.versions[chain.versions.length - 1]!;
+    return createDone(json ? formatJson({ ok: true, version }) : `${logFile}: version ${version} is good\n`);
+};
+
+/** Shows the policy of a version, by default the latest one. */
+export const renderPolicyFile = (logFile: string, version: number | undefined): CommandResult => {
+    const log = loadLog(logFile);
+    if (!log.ok) {
+        return createRefusal(logFile, log.faults);
+    }
+    const { versions } = deriveChain(log.value);
+    const shown = version === undefined
+        ? versions[versions.length - 1]
+        : versions.find(candidate => candidate.version === version);
+    return shown ? createDone(formatJson(shown)) : createUsageError(`${logFile}: there is no version ${version}`);
+};
+
+const listLogRows = (chain: PolicyChain): readonly (readonly string[])[] => [
+    ...chain.versions.map(({ version, digest, time, author, reason }) => [
+        String(version),
+        digest.slice(0, shownDigestDigits),
+        time,
+        author,
+        reason,
+    ]),
+    ...chain.rejected.map(({ entry, reason }) => [
+        `(${entry.version})`,
+        "rejected",
+        entry.time,
+        entry.author,
+        reason,
+    ]),
+];
+
+/** Lists the versions of a log and its rejected entries. */
+export const listPolicyFile = (logFile: string, json: boolean): CommandResult => {
+    const log = loadLog(logFile);
+    if (!log.ok) {
+        return createRefusal(logFile, log.faults, json);
+    }
+    const chain = deriveChain(log.value);
+    if (json) {
+        const versions = chain.versions.map(({ version, digest, time, author, reason }) => ({
+            version,
+            digest,
+            time,
+            author,
+            reason,
+        }));
+        return createDone(formatJson({ versions, rejected: chain.rejected }));
+    }
+    return createDone(renderTable(["VERSION", "DIGEST", "TIME", "AUTHOR", "REASON"], listLogRows(chain)));
+};
--- /dev/null
+++ b/src/constants/index.ts
@@ -0,0 +1,37 @@
+/** Named constants; each name of a quantity ends in its unit. */
+
+export const defaultDeadlineMs = 5_000;
+export const maxDeadlineMs = 600_000;
+export const minForwardMs = 2;
+
+export const maxReplayBodyBytes = 64 * 1024;
+export const maxHeaderBytes = 16 * 1024;
+export const defaultMaxRequestBodyBytes = 256 * 1024 * 1024;
+export const maxPolicyLogBytes = 1024 * 1024;
+
+export const sweepIntervalMs = 10;
+export const limitWindowMs = 100;
+export const pauseThresholdMs = 1_000;
+
+export const keepAliveTimeoutMs = 60_000;
+export const upstreamKeepAliveMs = 4_000;
+export const peerConnections = 64;
+
+export const platformWaitMs = 25_000;
+export const platformRequestTimeoutMs = 30_000;
+export const platformRetryMinMs = 200;
+export const platformRetryMaxMs = 5_000;
+
+export const keyClockMarginMs = 2_000;
+export const maxKeyRecords = 20_000;
+export const maxKeyRecordBytes = 24 * 1024 * 1024;
+export const keyRetentionMs = 600_000;
+
+export const actionFreshnessMs = 250;
+export const maxLedgerEntries = 50_000;
+
+export const maxAuditEvents = 2_000;
+
+export const refusalRetryAfterSeconds = 1;
+export const drainRetryAfterSeconds = 1;
+export const defaultDrainLimitMs = 30_000;
--- /dev/null
+++ b/src/decisions/decideRetry/index.ts
@@ -0,0 +1,32 @@
+import { minForwardMs } from "../../constants";
+
+/** How one attempt of a call ended, as far as retrying is concerned. */
+export type AttemptEnd = "completed" | "not-run" | "failed" | "unsent" | "unknown";
+
+/** What a retry decision rests on. */
+export interface RetrySituation {
+    readonly end: AttemptEnd;
+    /** Whether repeating the request does no harm: it is idempotent, or its home removes repetitions by key. */
+    readonly repeatable: boolean;
+    /** Whether the request's body is still at hand. */
+    readonly replayable: boolean;
+    /** Retries left for this call. */
+    readonly retriesLeft: number;
+    /** Instances with room that this call has not tried yet, or the home if only it may run the request. */
+    readonly candidates: number;
+    readonly remainingMs: number;
+    /** Wait before the retry, in milliseconds. */
+    readonly backoffMs: number;
+}
+
+/** Decides whether a call is tried again; the reasons against it are checked from the cheapest on. */
+export const decideRetry = (situation: RetrySituation): boolean => {
+    if (situation.end === "completed" || situation.retriesLeft < 1 || !situation.replayable) {
+        return false;
+    }
+    const mayHaveRun = situation.end === "failed" || situation.end === "unknown";
+    if (mayHaveRun && !situation.repeatable) {
+        return false;
+    }
+    return situation.candidates > 0 && situation.remainingMs > situation.backoffMs + minForwardMs;
+};
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,29 @@
+/** Entry of the program. */
+import { createProgram } from "./commands/createProgram";
+import { type CommandResult, exitUsage } from "./commands/types";
+
+const report = (result: CommandResult): void => {
+    process.stdout.write(result.output);
+    process.stderr.write(result.errors);
+    process.exitCode = result.code;
+};
+
+const runProgram = async (argv: readonly string[]): Promise<void> => {
+    const program = createProgram(report);
+    try {
+        program.parse([...argv], { run: false });
+        if (program.matchedCommand) {
+            await program.runMatchedCommand();
+            return;
+        }
+        if (!program.options["help"]) {
+            program.outputHelp();
+            process.exitCode = exitUsage;
+        }
+    }
+    catch (error) {
+        report({ code: exitUsage, output: "", errors: `${(error as Error).message}\n` });
+    }
+};
+
+void runProgram(process.argv);
--- /dev/null
+++ b/src/policy/checkPolicy/index.ts
@@ -0,0 +1,50 @@
+import createRouter from "find-my-way";
+import { checkShape } from "../../_lib/checkShape";
+import { type Checked, type Fault } from "../../types";
+import { policySchema } from "../schema";
+import { type Policy, type ServicePolicy } from "../types";
+
+const listRepeated = (names: readonly string[]): readonly string[] =>
+    names.filter((name, index) => names.indexOf(name) !== index);
+
+const checkRoutePaths = (serviceName: string, service: ServicePolicy): readonly Fault[] => {
+    const router = createRouter();
+    return service.routes.flatMap((route, index) => {
+        try {
+            router.on(route.method, route.path, () => undefined);
+            return [];
+        }
+        catch (error) {
+            return [{
+                path: `$.services.${serviceName}.routes[${index}].path`,
+                message: `not usable: ${(error as Error).message}`,
+            }];
+        }
+    });
+};
+
+const checkService = (serviceName: string, service: ServicePolicy): readonly Fault[] => [
+    ...listRepeated(service.routes.map(route => route.name)).map(name => ({
+        path: `$.services.${serviceName}.routes`,
+        message: `two routes are named "${name}"`,
+    })),
+    ...checkRoutePaths(serviceName, service),
+];
+
+/** Checks a policy's shape and the rules that span several fields; all faults are listed at once. */
+export const checkPolicy = (input: unknown): Checked<Policy> => {
+    const shaped = checkShape(policySchema, input);
+    if (!shaped.ok) {
+        return shaped;
+    }
+    const services = Object.entries(shaped.value.services);
+    const endpointNames = services.flatMap(([, service]) => service.endpoints.map(endpoint => endpoint.name));
+    const faults = [
+        ...listRepeated(endpointNames).map(name => ({
+            path: "$.services",
+            message: `two endpoints are named "${name}"`,
+        })),
+        ...services.flatMap(([name, service]) => checkService(name, service)),
+    ];
+    return faults.length === 0 ? shaped : { ok: false, faults };
+};
--- /dev/null
+++ b/src/standins/main.ts
@@ -0,0 +1,29 @@
+/** Entry of the stand-ins: `standins platform PORT | upstream CONFIG | callers CONFIG RESULT`. */
+import { readFileSync, writeFileSync } from "node:fs";
+import { Callers } from "./callers";
+import { PlatformStandIn } from "./platform";
+import { type CallersConfig, type UpstreamConfig } from "./types";
+import { UpstreamStandIn } from "./upstream";
+
+const loadConfig = <Config>(file: string): Config => JSON.parse(readFileSync(file, "utf8")) as Config;
+
+const runStandIn = async (kind: string | undefined, first: string, second: string): Promise<void> => {
+    if (kind === "platform") {
+        await new PlatformStandIn().start(Number(first));
+        return;
+    }
+    if (kind === "upstream") {
+        await new UpstreamStandIn(loadConfig<UpstreamConfig>(first)).start();
+        return;
+    }
+    if (kind === "callers") {
+        const records = await new Callers(loadConfig<CallersConfig>(first)).run();
+        writeFileSync(second, JSON.stringify(records));
+        return;
+    }
+    process.stderr.write("usage: standins platform PORT | upstream CONFIG | callers CONFIG RESULT\n");
+    process.exitCode = 2;
+};
+
+process.once("SIGTERM", () => process.exit(0));
+void runStandIn(process.argv[2], process.argv[3] ?? "", process.argv[4] ?? "");
--- /dev/null
+++ b/src/standins/upstream/index.ts
@@ -0,0 +1,196 @@
+/** Stand-in of an upstream: slots, a plain queue, work that takes time, calls to other services. */
+import { createHash } from "node:crypto";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Agent, type Dispatcher, request as sendRequest } from "undici";
+import { createRandom } from "../../_lib/createRandom";
+import { type Address } from "../../types";
+import { readText, sendJson, serveHttp } from "../_lib/serveHttp";
+import { type ChildCall, type UpstreamConfig, type UpstreamReport, type UpstreamRoute } from "../types";
+
+interface Job {
+    readonly route: UpstreamRoute;
+    readonly headers: IncomingMessage["headers"];
+    readonly response: ServerResponse;
+    readonly cancelled: AbortController;
+    readonly deadlineAtMs: number;
+}
+
+const passedHeaders = ["pomelovalve-action", "pomelovalve-call", "traceparent", "authorization"];
+const maxWorkFactor = 4;
+
+/** Derives the key of a child call from that of its parent, so that a repeated parent repeats its children's keys. */
+export const deriveChildKey = (parentKey: string, child: ChildCall): string => {
+    const digest = createHash("sha256").update(`${parentKey}\n${child.service}${child.path}`).digest("hex");
+    return `${parentKey.slice(0, 13)}-7${digest.slice(0, 3)}-8${digest.slice(3, 6)}-${digest.slice(6, 18)}`;
+};
+
+/** Owns the slots, the queue and the record of runs. */
+export class UpstreamStandIn {
+    private readonly agent = new Agent({ connections: 512, pipelining: 1 });
+    private readonly sampleRandom: () => number;
+    private readonly queue: Job[] = [];
+    private readonly runsByKey = new Map<string, number>();
+    private running = 0;
+    private runs = 0;
+    private cancelledRuns = 0;
+    private workFactor = 1;
+    private server: Server | undefined;
+
+    constructor(private readonly config: UpstreamConfig) {
+        this.sampleRandom = createRandom(config.seed);
+    }
+
+    async start(): Promise<void> {
+        this.server = await serveHttp(this.config.port, (request, response) => void this.handle(request, response));
+    }
+
+    stop(): void {
+        this.server?.closeAllConnections();
+        this.server?.close();
+    }
+
+    readReport(): UpstreamReport {
+        return {
+            endpoint: this.config.endpoint,
+            runs: this.runs,
+            cancelledRuns: this.cancelledRuns,
+            runsByKey: Object.fromEntries(this.runsByKey),
+        };
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (request.url === "/standin/report") {
+            sendJson(response, 200, this.readReport());
+            return;
+        }
+        const text = await readText(request).catch(() => "");
+        if (request.url === "/standin/work-factor") {
+            this.workFactor = (JSON.parse(text) as { readonly factor: number; }).factor;
+            sendJson(response, 200, {});
+            return;
+        }
+        const route = this.config.routes.find(candidate =>
+            candidate.method === request.method && request.url!.startsWith(candidate.pathPrefix)
+        );
+        if (!route) {
+            sendJson(response, 404, { error: "no such route" });
+            return;
+        }
+        this.enqueue(this.createJob(route, request, response));
+    }
+
+    private createJob(route: UpstreamRoute, request: IncomingMessage, response: ServerResponse): Job {
+        const cancelled = new AbortController();
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                cancelled.abort();
+            }
+        });
+        const remainingMs = Number(request.headers["pomelovalve-deadline"] ?? Infinity);
+        return { route, headers: request.headers, response, cancelled, deadlineAtMs: performance.now() + remainingMs };
+    }
+
+    private enqueue(job: Job): void {
+        this.queue.push(job);
+        this.runNext();
+    }
+
+    private runNext(): void {
+        while (this.running < this.config.slots && this.queue.length > 0) {
+            const job = this.queue.shift()!;
+            const isWanted = !job.cancelled.signal.aborted && performance.now() < job.deadlineAtMs;
+            if (!isWanted) {
+                job.response.destroy();
+                continue;
+            }
+            this.running += 1;
+            void this.run(job).finally(() => {
+                this.running -= 1;
+                this.runNext();
+            });
+        }
+    }
+
+    private async run(job: Job): Promise<void> {
+        this.recordRun(job);
+        try {
+            await this.awaitWork(job);
+            await Promise.all(job.route.children.map(child => this.callChild(child, job)));
+            sendJson(job.response, 200, { endpoint: this.config.endpoint, parts: 1 + job.route.children.length });
+        }
+        catch (error) {
+            if (job.cancelled.signal.aborted) {
+                this.cancelledRuns += 1;
+                return;
+            }
+            sendJson(job.response, 502, { error: (error as Error).message });
+        }
+    }
+
+    private recordRun(job: Job): void {
+        this.runs += 1;
+        const key = job.headers["idempotency-key"];
+        if (typeof key === "string" && !job.route.idempotent) {
+            this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
+        }
+    }
+
+    private awaitWork(job: Job): Promise<void> {
+        const sampled = -Math.log(1 - this.sampleRandom());
+        const workMs = job.route.workMs * this.workFactor * Math.min(maxWorkFactor, 0.5 + sampled / 2);
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(resolve, workMs);
+            job.cancelled.signal.addEventListener("abort", () => {
+                clearTimeout(timer);
+                reject(new Error("cancelled"));
+            }, { once: true });
+        });
+    }
+
+    private async callChild(child: ChildCall, job: Job): Promise<void> {
+        const { routing } = this.config;
+        if (routing.kind === "node") {
+            await this.sendChild(routing.egress, child, job, job.cancelled.signal);
+            return;
+        }
+        const upstreams = routing.upstreams[child.service]!;
+        for (let tries = 1;; tries += 1) {
+            try {
+                const target = upstreams[Math.floor(this.sampleRandom() * upstreams.length)]!;
+                const signal = AbortSignal.any([job.cancelled.signal, AbortSignal.timeout(routing.timeoutMs)]);
+                await this.sendChild(target, child, job, signal);
+                return;
+            }
+            catch (error) {
+                if (tries >= routing.tries || job.cancelled.signal.aborted) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    private async sendChild(target: Address, child: ChildCall, job: Job, signal: AbortSignal): Promise<void> {
+        const headers: Record<string, string> = { host: child.service };
+        passedHeaders.forEach(name => {
+            const value = job.headers[name];
+            if (typeof value === "string") {
+                headers[name] = value;
+            }
+        });
+        const key = job.headers["idempotency-key"];
+        if (typeof key === "string" && child.method !== "GET") {
+            headers["idempotency-key"] = deriveChildKey(key, child);
+        }
+        const answer = await sendRequest(`http://${target.host}:${target.port}${child.path}`, {
+            method: child.method as Dispatcher.HttpMethod,
+            headers,
+            signal,
+            dispatcher: this.agent,
+            headersTimeout: 0,
+        });
+        await answer.body.text();
+        if (answer.statusCode !== 200) {
+            throw new Error(`${child.service} answered ${answer.statusCode}`);
+        }
+    }
+}
--- /dev/null
+++ b/src/tasks/_lib/attempt.ts
@@ -0,0 +1,145 @@
+/** One attempt of a call over one connection, and its result as a value. */
+import { type IncomingMessage } from "node:http";
+import { type Dispatcher } from "undici";
+import { type AnswerHead, type AnswerSink } from "./answerSink";
+
+/** Why an attempt came to no whole answer. */
+export type BreakCause = "connection" | "timeout" | "cancelled" | "unframed";
+
+/** How an attempt ended. */
+export type AttemptResult =
+    | { readonly kind: "answered"; readonly head: AnswerHead; readonly passedOn: boolean; }
+    /** No byte of the request reached the target. */
+    | { readonly kind: "unsent"; readonly cause: BreakCause; }
+    /** The request was sent, but no whole answer came back. */
+    | { readonly kind: "broken"; readonly cause: BreakCause; readonly passedOn: boolean; };
+
+/** What the owner of an attempt is asked and told. */
+export interface AttemptOwner {
+    /** Returns where the answer goes, or undefined when it is to be discarded. */
+    takeAnswer(head: AnswerHead): AnswerSink | undefined;
+    finish(result: AttemptResult): void;
+}
+
+/** A request as it goes to the next hop. */
+export interface OutgoingRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly rawHeaders: string[];
+    readonly body: Buffer | IncomingMessage | undefined;
+}
+
+const firstFinalStatus = 200;
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether the end of an answer's body can be told from a broken connection. */
+const isFramed = (method: string, head: AnswerHead, rawHeaders: readonly string[]): boolean => {
+    if (method === "HEAD" || statusesWithoutBody.has(head.status)) {
+        return true;
+    }
+    return rawHeaders.some((name, index) => {
+        const isName = index % 2 === 0;
+        const lowerCase = isName ? name.toLowerCase() : "";
+        return lowerCase === "content-length" || lowerCase === "transfer-encoding";
+    });
+};
+
+const parseRawHeaders = (raw: readonly Buffer[]): string[] => raw.map(part => part.toString("latin1"));
+
+/** Carries one attempt; implements the handler interface of undici. */
+export class Attempt implements Dispatcher.DispatchHandlers {
+    private abortConnection: ((error?: Error) => void) | undefined;
+    private breakCause: BreakCause | undefined;
+    private head: AnswerHead | undefined;
+    private sink: AnswerSink | undefined;
+    private sent = false;
+    private finished = false;
+
+    constructor(private readonly method: string, private readonly owner: AttemptOwner) {}
+
+    /** Gives the attempt up; its owner gets the result at once. */
+    abort(cause: BreakCause): void {
+        if (this.finished) {
+            return;
+        }
+        this.breakCause = cause;
+        const abortConnection = this.abortConnection;
+        this.finishBroken(cause);
+        abortConnection?.();
+    }
+
+    onConnect(abort: (error?: Error) => void): void {
+        if (this.finished) {
+            abort();
+            return;
+        }
+        this.abortConnection = abort;
+        this.sent = true;
+    }
+
+    onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+        if (status < firstFinalStatus || this.finished) {
+            return true;
+        }
+        const rawHeaders = parseRawHeaders(raw);
+        this.head = { status, rawHeaders };
+        if (!isFramed(this.method, this.head, rawHeaders)) {
+            this.abort("unframed");
+            return true;
+        }
+        this.sink = this.owner.takeAnswer(this.head);
+        this.resume = resume;
+        return true;
+    }
+
+    onData(chunk: Buffer): boolean {
+        if (!this.sink || this.finished) {
+            return true;
+        }
+        const hasRoom = this.sink.write(chunk);
+        if (!hasRoom) {
+            this.sink.onDrain(this.resume);
+        }
+        return hasRoom;
+    }
+
+    onComplete(): void {
+        if (this.finished) {
+            return;
+        }
+        this.finished = true;
+        this.sink?.end();
+        this.owner.finish({ kind: "answered", head: this.head!, passedOn: this.sink !== undefined });
+    }
+
+    onError(): void {
+        if (!this.finished) {
+            this.finishBroken(this.breakCause ?? "connection");
+        }
+    }
+
+    private resume: () => void = () => undefined;
+
+    private finishBroken(cause: BreakCause): void {
+        this.finished = true;
+        this.sink?.abort();
+        this.owner.finish(
+            this.sent ? { kind: "broken", cause, passedOn: this.sink !== undefined } : { kind: "unsent", cause },
+        );
+    }
+}
+
+/** Sends a request over a connection of a pool; the attempt hears of its answer. */
+export const sendAttempt = (pool: Dispatcher, request: OutgoingRequest, attempt: Attempt): void => {
+    pool.dispatch(
+        {
+            method: request.method as Dispatcher.HttpMethod,
+            path: request.path,
+            headers: request.rawHeaders,
+            body: request.body,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        },
+        attempt,
+    );
+};
--- /dev/null
+++ b/src/tasks/_lib/createCall.ts
@@ -0,0 +1,68 @@
+import { type IncomingMessage } from "node:http";
+import { v7, validate, version } from "uuid";
+import { actionFreshnessMs } from "../../constants";
+import { mergeImportance, parseImportance } from "../../decisions/mergeImportance";
+import { parseDeadline } from "../../decisions/parseDeadline";
+import { type Call, type RouteMatch } from "../types";
+import { type Clock } from "./clock";
+import { actionHeader, callerHeader, deadlineHeader, findHeader, importanceHeader, retriesHeader } from "./headers";
+
+const timestampHexDigits = 12;
+
+const isActionId = (text: string | undefined): text is string =>
+    text !== undefined && validate(text) && version(text) === 7;
+
+const computeAgeMs = (action: string, clock: Clock): number =>
+    clock.readWallMs() - Number.parseInt(action.replaceAll("-", "").slice(0, timestampHexDigits), 16);
+
+const computeDeadline = (request: IncomingMessage, match: RouteMatch, clock: Clock): number => {
+    const asked = parseDeadline(findHeader(request.rawHeaders, deadlineHeader));
+    return clock.readMonotonicMs() + Math.min(match.route.deadlineMs, asked ?? match.route.deadlineMs);
+};
+
+/** What a call is made from besides its request. */
+export interface CallOptions {
+    readonly id: string;
+    readonly match: RouteMatch;
+    readonly clock: Clock;
+}
+
+/**
+ * Creates the call of a request from outside, which begins an action or resends it.
+ * Only an action minted just now gets retries, so that a caller's own resend gains none.
+ */
+export const createEntryCall = (
+    request: IncomingMessage,
+    caller: string,
+    retryLimit: number,
+    options: CallOptions,
+): Call => {
+    const { id, match, clock } = options;
+    const stated = findHeader(request.rawHeaders, actionHeader);
+    const action = isActionId(stated) ? stated : v7();
+    const isFresh = Math.abs(computeAgeMs(action, clock)) <= actionFreshnessMs;
+    return {
+        id,
+        action,
+        caller,
+        importance: match.route.importance,
+        deadlineAtMs: computeDeadline(request, match, clock),
+        retries: isFresh ? retryLimit : 0,
+    };
+};
+
+/** Creates the call of a request from another node, whose statements are trusted within the policy's bounds. */
+export const createPeerCall = (request: IncomingMessage, retryLimit: number, options: CallOptions): Call => {
+    const { id, match, clock } = options;
+    const stated = findHeader(request.rawHeaders, actionHeader);
+    const retries = Number(findHeader(request.rawHeaders, retriesHeader) ?? 0);
+    const inherited = parseImportance(findHeader(request.rawHeaders, importanceHeader));
+    return {
+        id,
+        action: isActionId(stated) ? stated : v7(),
+        caller: findHeader(request.rawHeaders, callerHeader) ?? "anonymous",
+        importance: mergeImportance(inherited, match.route.importance),
+        deadlineAtMs: computeDeadline(request, match, clock),
+        retries: Number.isInteger(retries) ? Math.min(retryLimit, Math.max(0, retries)) : 0,
+    };
+};
--- /dev/null
+++ b/src/tasks/_lib/headers.ts
@@ -0,0 +1,67 @@
+/** Header names and the rules for passing headers on. */
+
+export const actionHeader = "pomelovalve-action";
+export const callHeader = "pomelovalve-call";
+export const callerHeader = "pomelovalve-caller";
+export const deadlineHeader = "pomelovalve-deadline";
+export const retriesHeader = "pomelovalve-retries";
+export const unusedRetriesHeader = "pomelovalve-retries-unused";
+export const importanceHeader = "pomelovalve-importance";
+export const outcomeHeader = "pomelovalve-outcome";
+export const loadHeader = "pomelovalve-load";
+export const leavingHeader = "pomelovalve-leaving";
+
+const ownPrefix = "pomelovalve-";
+
+const hopByHop: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
+
+/** Names that a Connection header lists as hop-by-hop. */
+const listConnectionNames = (rawHeaders: readonly string[]): ReadonlySet<string> | undefined => {
+    const value = findHeader(rawHeaders, "connection");
+    if (value === undefined || value === "keep-alive" || value === "close") {
+        return undefined;
+    }
+    return new Set(value.split(",").map(name => name.trim().toLowerCase()));
+};
+
+/** Finds the first value of a header in a flat list of names and values. */
+export const findHeader = (rawHeaders: readonly string[], name: string): string | undefined => {
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const candidate = rawHeaders[index]!;
+        if (candidate.length === name.length && candidate.toLowerCase() === name) {
+            return rawHeaders[index + 1];
+        }
+    }
+    return undefined;
+};
+
+/** Removes hop-by-hop headers and the system's own ones, and those named in `also`. */
+export const stripHeaders = (rawHeaders: readonly string[], also: ReadonlySet<string>): string[] => {
+    const connectionNames = listConnectionNames(rawHeaders);
+    const kept: string[] = [];
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index]!.toLowerCase();
+        const dropped = hopByHop.has(name) || name.startsWith(ownPrefix) || also.has(name)
+            || connectionNames?.has(name);
+        if (!dropped) {
+            kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+        }
+    }
+    return kept;
+};
+
+/** Headers of a request that the next hop sets anew. */
+export const requestHeadersSetAnew: ReadonlySet<string> = new Set(["host", "expect", "content-length"]);
+
+/** No further headers. */
+export const noHeaders: ReadonlySet<string> = new Set();
--- /dev/null
+++ b/src/tasks/_lib/problem.ts
@@ -0,0 +1,110 @@
+/** Refusals and errors as application/problem+json (RFC 9457). */
+import { type ServerResponse } from "node:http";
+import { type Outcome } from "../../types";
+import { type AnswerHead, type AnswerSink } from "./answerSink";
+import { outcomeHeader } from "./headers";
+
+/** Reasons for which the system itself answers a request. */
+export type ProblemReason =
+    | "bad-request"
+    | "unknown-caller"
+    | "unknown-route"
+    | "unknown-service"
+    | "no-policy"
+    | "body-too-large"
+    | "key-mismatch"
+    | "key-not-acceptable"
+    | "answer-not-kept"
+    | "wrong-home"
+    | "overloaded"
+    | "displaced"
+    | "queue-timeout"
+    | "deadline-exceeded"
+    | "leaving"
+    | "no-instance"
+    | "key-table-full"
+    | "upstream-unreachable"
+    | "upstream-broke-off"
+    | "upstream-unframed";
+
+/** An answer of the system's own. */
+export interface Problem {
+    readonly status: number;
+    readonly reason: ProblemReason;
+    readonly outcome: Outcome;
+    readonly detail: string;
+    /** When the caller may come back, in seconds. */
+    readonly retryAfterSeconds?: number;
+}
+
+const titles: Readonly<Record<ProblemReason, string>> = {
+    "bad-request": "The request is not usable",
+    "unknown-caller": "The caller is not known",
+    "unknown-route": "The policy has no such route",
+    "unknown-service": "The policy has no such service",
+    "no-policy": "No policy is in force yet",
+    "body-too-large": "The request body is too large",
+    "key-mismatch": "The idempotency key belongs to another request",
+    "key-not-acceptable": "The idempotency key can't be accepted",
+    "answer-not-kept": "The request has been completed, but its answer is no longer kept",
+    "wrong-home": "The request belongs to another instance",
+    overloaded: "There is no room for the request",
+    displaced: "A more important request took the place in the queue",
+    "queue-timeout": "The request waited too long for a slot",
+    "deadline-exceeded": "The time for the request is over",
+    leaving: "The instance is shutting down",
+    "no-instance": "No instance can take the request",
+    "key-table-full": "There is no room to record the request",
+    "upstream-unreachable": "The upstream does not accept connections",
+    "upstream-broke-off": "The upstream broke off its answer",
+    "upstream-unframed": "The upstream's answer has no length, so that it can't be told whether it is whole",
+};
+
+/** An answer of the system's own, ready to be written. */
+export interface ProblemAnswer {
+    readonly head: AnswerHead;
+    readonly body: Buffer;
+}
+
+/** Renders a problem with further headers. */
+export const renderProblem = (problem: Problem, extraHeaders: readonly string[] = []): ProblemAnswer => {
+    const document = {
+        type: `urn:pomelovalve:${problem.reason}`,
+        title: titles[problem.reason],
+        status: problem.status,
+        detail: problem.detail,
+        outcome: problem.outcome,
+        retryAfterSeconds: problem.retryAfterSeconds,
+    };
+    const body = Buffer.from(JSON.stringify(document));
+    const rawHeaders = [
+        "Content-Type",
+        "application/problem+json",
+        "Content-Length",
+        String(body.length),
+        outcomeHeader,
+        problem.outcome,
+        ...(problem.retryAfterSeconds === undefined ? [] : ["Retry-After", String(problem.retryAfterSeconds)]),
+        ...extraHeaders,
+    ];
+    return { head: { status: problem.status, rawHeaders }, body };
+};
+
+/** Sends a problem through a sink. */
+export const sendProblem = (sink: AnswerSink, problem: Problem, extraHeaders: readonly string[] = []): void => {
+    const answer = renderProblem(problem, extraHeaders);
+    sink.start(answer.head);
+    sink.write(answer.body);
+    sink.end();
+};
+
+/** Sends a problem as the response to an HTTP request. */
+export const sendProblemResponse = (
+    response: ServerResponse,
+    problem: Problem,
+    extraHeaders: readonly string[] = [],
+): void => {
+    const answer = renderProblem(problem, extraHeaders);
+    response.writeHead(answer.head.status, answer.head.rawHeaders as string[]);
+    response.end(answer.body);
+};
--- /dev/null
+++ b/src/tasks/_lib/readBody.ts
@@ -0,0 +1,71 @@
+import { type IncomingMessage } from "node:http";
+import { maxReplayBodyBytes } from "../../constants";
+
+/** A request body: whole in memory when it is small, otherwise the stream itself. */
+export type RequestBody = Buffer | IncomingMessage | undefined;
+
+/** Result of taking a body from a request. */
+export type BodyResult =
+    | { readonly kind: "body"; readonly body: RequestBody; }
+    | { readonly kind: "too-large"; }
+    | { readonly kind: "broken"; };
+
+/** Which bodies are read whole, and how large they may be. */
+export interface BodyOptions {
+    /** Reads the body whole even when its length is unknown or large. */
+    readonly whole: boolean;
+    readonly maxBytes: number;
+}
+
+const hasBody = (request: IncomingMessage): boolean =>
+    request.headers["transfer-encoding"] !== undefined || Number(request.headers["content-length"] ?? 0) > 0;
+
+const readWhole = (request: IncomingMessage, maxBytes: number, finish: (result: BodyResult) => void): void => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    let finished = false;
+    const finishOnce = (result: BodyResult): void => {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        finish(result);
+    };
+    request.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > maxBytes) {
+            finishOnce({ kind: "too-large" });
+            return;
+        }
+        chunks.push(chunk);
+    });
+    request.once(
+        "end",
+        () => finishOnce({ kind: "body", body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks) }),
+    );
+    request.once("close", () => finishOnce({ kind: "broken" }));
+};
+
+/** Reads a request's body as far as it has to be in memory, then calls back. */
+export const readBody = (
+    request: IncomingMessage,
+    options: BodyOptions,
+    finish: (result: BodyResult) => void,
+): void => {
+    if (!hasBody(request)) {
+        request.resume();
+        finish({ kind: "body", body: undefined });
+        return;
+    }
+    const length = request.headers["content-length"];
+    if (Number(length ?? 0) > options.maxBytes) {
+        finish({ kind: "too-large" });
+        return;
+    }
+    const isSmall = length !== undefined && Number(length) <= maxReplayBodyBytes;
+    if (isSmall || options.whole) {
+        readWhole(request, options.maxBytes, finish);
+        return;
+    }
+    finish({ kind: "body", body: request });
+};
--- /dev/null
+++ b/src/tasks/_lib/timerWheel.ts
@@ -0,0 +1,76 @@
+import { sweepIntervalMs } from "../../constants";
+import { type Clock } from "./clock";
+
+/** A pending timeout. */
+export interface Timeout {
+    readonly dueMs: number;
+    readonly expire: () => void;
+    readonly bucket: Set<Timeout>;
+}
+
+/** Timer wheel: many short timeouts share one interval timer, which stands still while none is pending. */
+export class TimerWheel {
+    private readonly buckets = new Map<number, Set<Timeout>>();
+    private interval: NodeJS.Timeout | undefined;
+    private lastTick = 0;
+
+    constructor(private readonly clock: Clock) {}
+
+    /** Adds a timeout after a number of milliseconds. */
+    add(delayMs: number, expire: () => void): Timeout {
+        const dueMs = this.clock.readMonotonicMs() + delayMs;
+        const tick = Math.ceil(dueMs / sweepIntervalMs);
+        const bucket = this.buckets.get(tick) ?? new Set<Timeout>();
+        this.buckets.set(tick, bucket);
+        const timeout: Timeout = { dueMs, expire, bucket };
+        bucket.add(timeout);
+        this.startInterval();
+        return timeout;
+    }
+
+    /** Removes a pending timeout; one that has expired is left alone. */
+    remove(timeout: Timeout | undefined): void {
+        timeout?.bucket.delete(timeout);
+    }
+
+    /** Expires all timeouts that are due. */
+    expire(): void {
+        const nowTick = Math.floor(this.clock.readMonotonicMs() / sweepIntervalMs);
+        const behind = nowTick - this.lastTick;
+        const ticks = behind > this.buckets.size
+            ? [...this.buckets.keys()].filter(tick => tick <= nowTick).sort((a, b) => a - b)
+            : [...Array(behind).keys()].map(offset => this.lastTick + 1 + offset);
+        this.lastTick = nowTick;
+        ticks.forEach(tick => this.expireBucket(tick));
+        if (this.buckets.size === 0) {
+            this.stop();
+        }
+    }
+
+    /** Stops the interval timer. */
+    stop(): void {
+        clearInterval(this.interval);
+        this.interval = undefined;
+    }
+
+    private startInterval(): void {
+        if (this.interval) {
+            return;
+        }
+        this.lastTick = Math.floor(this.clock.readMonotonicMs() / sweepIntervalMs);
+        this.interval = setInterval(() => this.expire(), sweepIntervalMs);
+        this.interval.unref();
+    }
+
+    private expireBucket(tick: number): void {
+        const bucket = this.buckets.get(tick);
+        if (!bucket) {
+            return;
+        }
+        this.buckets.delete(tick);
+        bucket.forEach(timeout => {
+            bucket.delete(timeout);
+            timeout.expire();
+        });
+    }
+}
--- /dev/null
+++ b/src/tasks/control/index.ts
@@ -0,0 +1,70 @@
+/** Listener for operators and other nodes: metrics, health, status and audit. */
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Registry } from "prom-client";
+import { type Address } from "../../types";
+import { closeListener, openListener } from "../_lib/openListener";
+import { type ControlSource, createControlRouter } from "./router";
+
+/** What the control listener reads. */
+export interface ControlParts extends ControlSource {
+    readonly registry: Registry;
+    /** Whether the node takes new work. */
+    isReady(): boolean;
+}
+
+const trpcPrefix = "/trpc/";
+
+/** Owns the control listener. */
+export class Control {
+    private server: Server | undefined;
+    private readonly handleTrpc: (request: IncomingMessage, response: ServerResponse) => void;
+
+    constructor(private readonly address: Address, private readonly parts: ControlParts) {
+        const handler = createHTTPHandler({ router: createControlRouter(parts), basePath: trpcPrefix });
+        this.handleTrpc = (request, response) => void handler(request, response);
+    }
+
+    async start(): Promise<void> {
+        this.server = await openListener(this.address, (request, response) => this.handle(request, response));
+    }
+
+    async stop(): Promise<void> {
+        if (this.server) {
+            this.server.closeAllConnections();
+            await closeListener(this.server);
+        }
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse): void {
+        const url = request.url ?? "";
+        if (url.startsWith(trpcPrefix)) {
+            this.handleTrpc(request, response);
+            return;
+        }
+        if (url === "/metrics") {
+            void this.sendMetrics(response);
+            return;
+        }
+        if (url === "/healthz") {
+            sendText(response, 200, "ok\n");
+            return;
+        }
+        if (url === "/readyz") {
+            const isReady = this.parts.isReady();
+            sendText(response, isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n");
+            return;
+        }
+        sendText(response, 404, "not found\n");
+    }
+
+    private async sendMetrics(response: ServerResponse): Promise<void> {
+        const text = await this.parts.registry.metrics();
+        sendText(response, 200, text, this.parts.registry.contentType);
+    }
+}
+
+const sendText = (response: ServerResponse, status: number, text: string, type = "text/plain"): void => {
+    response.writeHead(status, { "content-type": type });
+    response.end(text);
+};
--- /dev/null
+++ b/src/tasks/control/router.ts
@@ -0,0 +1,51 @@
+/** Interface between the system's own processes, over tRPC. */
+import { initTRPC } from "@trpc/server";
+import { z } from "zod";
+import { type AuditEntry } from "../audit";
+import { type LifecyclePhase } from "../messages";
+
+/** What a node tells of itself. */
+export interface NodeStatus {
+    readonly endpoint: string;
+    readonly service: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly phase: LifecyclePhase;
+    /** Version of the policy in force, 0 for none. */
+    readonly policyVersion: number;
+    readonly policyDigest: string;
+    readonly policySource: string;
+    /** Milliseconds since the version was adopted. */
+    readonly policyAgeMs: number;
+    readonly platformReached: boolean;
+    readonly instancesKnown: number;
+    readonly inFlight: number;
+    readonly limit: number;
+    readonly queued: number;
+    readonly keyRecords: number;
+    readonly refusals: Readonly<Record<string, number>>;
+    readonly residentBytes: number;
+    readonly processorSeconds: number;
+    readonly uptimeSeconds: number;
+    readonly binaryVersion: string;
+}
+
+/** What the router reads. */
+export interface ControlSource {
+    readStatus(): NodeStatus;
+    listAudit(afterSequence: number): readonly AuditEntry[];
+}
+
+const { router, procedure } = initTRPC.create();
+
+/** Creates the router of a node. */
+export const createControlRouter = (source: ControlSource) =>
+    router({
+        status: procedure.query(() => source.readStatus()),
+        audit: procedure.input(z.strictObject({ after: z.int().min(0) })).query(({ input }) =>
+            source.listAudit(input.after)
+        ),
+    });
+
+/** Type of the router, for clients. */
+export type ControlRouter = ReturnType<typeof createControlRouter>;
--- /dev/null
+++ b/src/tasks/ingress/matchRequest.ts
@@ -0,0 +1,95 @@
+/** Matches a request with the policy in force, before anything is done for it. */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { refusalRetryAfterSeconds } from "../../constants";
+import { identifyCaller } from "../../decisions/identifyCaller";
+import { type Settings } from "../../settings/types";
+import { type Clock } from "../_lib/clock";
+import { createEntryCall, createPeerCall } from "../_lib/createCall";
+import { type Problem } from "../_lib/problem";
+import { type PolicyTask } from "../policy";
+import { type Call, type RouteMatch } from "../types";
+
+/** Who sent a request to this node. */
+export type Origin = "caller" | "peer";
+
+/** A request as it comes from a listener. */
+export interface Exchange {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly origin: Origin;
+}
+
+/** A request on its way through the ingress. */
+export interface Incoming extends Exchange {
+    readonly call: Call;
+    readonly match: RouteMatch;
+    /** Idempotency key of a request whose route is not idempotent. */
+    readonly key: string | undefined;
+    readonly startedAtMs: number;
+}
+
+/** A matched request, or the problem that it is refused with. */
+export type MatchResult =
+    | { readonly kind: "matched"; readonly incoming: Incoming; }
+    | { readonly kind: "refused"; readonly problem: Problem; };
+
+/** What a request is matched with. */
+export interface MatchParts {
+    readonly settings: Settings;
+    readonly clock: Clock;
+    readonly policy: PolicyTask;
+}
+
+const refuse = (problem: Problem): MatchResult => ({ kind: "refused", problem });
+
+const readKey = (request: IncomingMessage, match: RouteMatch): string | undefined =>
+    match.route.idempotent ? undefined : request.headers["idempotency-key"] as string | undefined;
+
+const describeNoPolicy = (request: IncomingMessage): Problem => ({
+    status: 503,
+    reason: "no-policy",
+    outcome: request.headers["idempotency-key"] === undefined ? "not-run" : "may-have-run",
+    detail: "this node has not read a policy yet",
+    retryAfterSeconds: refusalRetryAfterSeconds,
+});
+
+const describeUnknownRoute = (request: IncomingMessage, service: string): Problem => ({
+    status: 404,
+    reason: "unknown-route",
+    outcome: "not-run",
+    detail: `${request.method} is not declared for this path of ${service}`,
+});
+
+const unknownCaller: Problem = {
+    status: 401,
+    reason: "unknown-caller",
+    outcome: "not-run",
+    detail: "the Authorization header names no known caller",
+};
+
+/** Matches a request with its route and identifies its caller; `sequence` makes the call's identity. */
+export const matchRequest = (exchange: Exchange, sequence: number, parts: MatchParts): MatchResult => {
+    const { request, origin } = exchange;
+    const { settings, clock, policy } = parts;
+    const startedAtMs = clock.readMonotonicMs();
+    if (!policy.inForce) {
+        return refuse(describeNoPolicy(request));
+    }
+    const match = policy.findRoute(settings.service, request.method!, request.url!);
+    if (!match) {
+        return refuse(describeUnknownRoute(request, settings.service));
+    }
+    const options = { id: `${settings.endpoint}-${sequence}`, match, clock };
+    const { retryLimit } = policy.inForce.policy;
+    const key = readKey(request, match);
+    if (origin === "peer") {
+        const call = createPeerCall(request, retryLimit, options);
+        return { kind: "matched", incoming: { ...exchange, call, match, key, startedAtMs } };
+    }
+    const caller = identifyCaller(request.headers.authorization, settings.callers);
+    if (caller === undefined) {
+        return refuse(unknownCaller);
+    }
+    const call = createEntryCall(request, caller, retryLimit, options);
+    return { kind: "matched", incoming: { ...exchange, call, match, key, startedAtMs } };
+};
--- /dev/null
+++ b/src/tasks/ingress/servedCall.ts
@@ -0,0 +1,255 @@
+/** One request that the local upstream serves: its slot, its attempt, its answer. */
+import { type IncomingMessage } from "node:http";
+import { type Dispatcher } from "undici";
+import { minForwardMs, refusalRetryAfterSeconds } from "../../constants";
+import { deriveOutcome } from "../../decisions/deriveOutcome";
+import { type Importance, type Outcome } from "../../types";
+import { type AnswerHead, type AnswerSink } from "../_lib/answerSink";
+import { Attempt, type AttemptOwner, type AttemptResult, type BreakCause, sendAttempt } from "../_lib/attempt";
+import { type Clock } from "../_lib/clock";
+import {
+    actionHeader,
+    callHeader,
+    deadlineHeader,
+    findHeader,
+    leavingHeader,
+    loadHeader,
+    noHeaders,
+    outcomeHeader,
+    stripHeaders,
+    unusedRetriesHeader,
+} from "../_lib/headers";
+import { type Problem, sendProblem } from "../_lib/problem";
+import { type Timeout, type TimerWheel } from "../_lib/timerWheel";
+import { type Admission, type RefusalReason, type SlotApplicant, type SlotResult } from "../admission";
+import { type Ledger } from "../ledger";
+import { type Call, type RouteMatch } from "../types";
+
+/** What served calls share. */
+export interface ServingParts {
+    readonly clock: Clock;
+    readonly wheel: TimerWheel;
+    readonly admission: Admission;
+    readonly ledger: Ledger;
+    readonly upstream: Dispatcher;
+    readonly isDraining: () => boolean;
+}
+
+/** A request to be served by the local upstream. */
+export interface ServeOrder {
+    readonly call: Call;
+    readonly match: RouteMatch;
+    readonly method: string;
+    readonly path: string;
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer | IncomingMessage | undefined;
+    /** Whether the answer goes to another node, which gets the figures for its decisions. */
+    readonly forPeer: boolean;
+    readonly sink: AnswerSink;
+    /** Called once, with the outcome and the reason of the system's own answer, or "answered". */
+    readonly finish: (outcome: Outcome, reason: string) => void;
+}
+
+const refusalDetails: Readonly<Record<RefusalReason, string>> = {
+    overloaded: "all slots and places in the queue are taken",
+    displaced: "a more important request came while the queue was full",
+    "queue-timeout": "no slot came free in time",
+};
+
+const slotResultByOutcome: Readonly<Record<Outcome, SlotResult>> = {
+    completed: "completed",
+    failed: "completed",
+    "not-run": "refused",
+    "may-have-run": "refused",
+};
+
+/** Owns the state of one served request. */
+export class ServedCall implements SlotApplicant, AttemptOwner {
+    readonly importance: Importance;
+    private withdraw: () => void = () => undefined;
+    private attempt: Attempt | undefined;
+    private deadline: Timeout | undefined;
+    private outcome: Outcome | undefined;
+    private finished = false;
+
+    constructor(private readonly order: ServeOrder, private readonly parts: ServingParts) {
+        this.importance = order.call.importance;
+    }
+
+    start(): void {
+        const remainingMs = this.computeRemainingMs();
+        if (remainingMs < minForwardMs) {
+            this.refuseLate();
+            return;
+        }
+        this.deadline = this.parts.wheel.add(remainingMs, () => this.expire());
+        this.withdraw = this.parts.admission.apply(this);
+    }
+
+    /** Gives the request up because nobody waits for its answer; the upstream is told by a broken connection. */
+    cancel(): void {
+        if (this.finished) {
+            return;
+        }
+        this.withdraw();
+        const { attempt } = this;
+        if (!attempt) {
+            this.settle("not-run", "cancelled");
+            return;
+        }
+        attempt.abort("cancelled");
+    }
+
+    run(): void {
+        if (this.computeRemainingMs() < minForwardMs) {
+            this.parts.admission.release("cancelled");
+            this.refuseLate();
+            return;
+        }
+        const { method, path, body } = this.order;
+        this.parts.ledger.open(this.order.call);
+        this.attempt = new Attempt(method, this);
+        sendAttempt(this.parts.upstream, { method, path, rawHeaders: this.createRequestHeaders(), body }, this.attempt);
+    }
+
+    refuse(reason: RefusalReason): void {
+        this.refuseWith({
+            status: 503,
+            reason,
+            outcome: "not-run",
+            detail: refusalDetails[reason],
+            retryAfterSeconds: refusalRetryAfterSeconds,
+        });
+    }
+
+    takeAnswer(head: AnswerHead): AnswerSink | undefined {
+        const stated = findHeader(head.rawHeaders, outcomeHeader);
+        const { notRunStatuses } = this.order.match.servicePolicy;
+        this.outcome = deriveOutcome({ status: head.status, stated, notRunStatuses });
+        this.order.sink.start({ status: head.status, rawHeaders: this.createAnswerHeaders(head, this.outcome) });
+        return this.order.sink;
+    }
+
+    finish(result: AttemptResult): void {
+        if (result.kind === "answered") {
+            const outcome = this.outcome!;
+            this.parts.admission.release(slotResultByOutcome[outcome]);
+            this.settle(outcome, "answered");
+            return;
+        }
+        this.parts.admission.release(result.cause === "cancelled" ? "cancelled" : "refused");
+        const outcome = result.kind === "unsent" ? "not-run" : "may-have-run";
+        if (result.kind === "broken" && result.passedOn) {
+            this.settle(outcome, "upstream-broke-off");
+            return;
+        }
+        if (result.cause === "cancelled") {
+            this.order.sink.abort();
+            this.settle(outcome, "cancelled");
+            return;
+        }
+        this.refuseWith(describeBreak(result.cause, outcome));
+    }
+
+    private expire(): void {
+        if (this.attempt) {
+            this.attempt.abort("timeout");
+            return;
+        }
+        this.withdraw();
+        this.refuseLate();
+    }
+
+    private refuseLate(): void {
+        this.refuseWith({
+            status: 504,
+            reason: "deadline-exceeded",
+            outcome: "not-run",
+            detail: "the deadline passed before the request got a slot",
+            retryAfterSeconds: refusalRetryAfterSeconds,
+        });
+    }
+
+    private refuseWith(problem: Problem): void {
+        if (this.finished) {
+            return;
+        }
+        this.finished = true;
+        sendProblem(this.order.sink, problem, this.createOwnHeaders(problem.outcome).slice(2));
+        this.settle(problem.outcome, problem.reason);
+    }
+
+    private settle(outcome: Outcome, reason: string): void {
+        this.finished = true;
+        this.parts.wheel.remove(this.deadline);
+        this.parts.ledger.close(this.order.call.id);
+        this.order.finish(outcome, reason);
+    }
+
+    private createRequestHeaders(): string[] {
+        const { call } = this.order;
+        return [
+            ...this.order.rawHeaders,
+            "host",
+            this.order.match.service,
+            actionHeader,
+            call.action,
+            callHeader,
+            call.id,
+            deadlineHeader,
+            String(Math.floor(this.computeRemainingMs())),
+        ];
+    }
+
+    private createAnswerHeaders(head: AnswerHead, outcome: Outcome): string[] {
+        const headers = stripHeaders(head.rawHeaders, noHeaders);
+        if (outcome === "not-run" && findHeader(headers, "retry-after") === undefined) {
+            headers.push("Retry-After", String(refusalRetryAfterSeconds));
+        }
+        headers.push(...this.createOwnHeaders(outcome));
+        return headers;
+    }
+
+    private createOwnHeaders(outcome: Outcome): string[] {
+        const { call, forPeer } = this.order;
+        const headers = [outcomeHeader, outcome, actionHeader, call.action];
+        if (this.parts.isDraining()) {
+            headers.push(leavingHeader, "1", "Connection", "close");
+        }
+        if (forPeer) {
+            const unused = this.attempt ? this.parts.ledger.takeAllRetries(call.id) : call.retries;
+            headers.push(unusedRetriesHeader, String(unused));
+            headers.push(loadHeader, this.parts.admission.computeLoad().toFixed(2));
+        }
+        return headers;
+    }
+
+    private computeRemainingMs(): number {
+        return this.order.call.deadlineAtMs - this.parts.clock.readMonotonicMs();
+    }
+}
+
+/** Describes an attempt that came to no answer. */
+const describeBreak = (cause: Exclude<BreakCause, "cancelled">, outcome: Outcome): Problem => {
+    if (cause === "timeout") {
+        return { status: 504, reason: "deadline-exceeded", outcome, detail: "the upstream did not answer in time" };
+    }
+    if (cause === "unframed") {
+        return {
+            status: 502,
+            reason: "upstream-unframed",
+            outcome,
+            detail: "neither a length nor chunks frame the answer",
+        };
+    }
+    if (outcome === "not-run") {
+        return {
+            status: 503,
+            reason: "upstream-unreachable",
+            outcome,
+            detail: "the upstream refused the connection",
+            retryAfterSeconds: refusalRetryAfterSeconds,
+        };
+    }
+    return { status: 502, reason: "upstream-broke-off", outcome, detail: "the upstream closed the connection" };
+};
--- /dev/null
+++ b/src/tasks/metrics/index.ts
@@ -0,0 +1,120 @@
+/** Metrics of one node, in the format of Prometheus. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { type Importance, type Outcome } from "../../types";
+
+/** Figures that are read when the metrics are scraped. */
+export interface ScrapedFigures {
+    readonly inFlight: number;
+    readonly limit: number;
+    readonly queued: number;
+    readonly keyRecords: number;
+    readonly policyVersion: number;
+}
+
+/** How a served request ended. */
+export interface ServedRequest {
+    readonly route: string;
+    readonly importance: Importance;
+    readonly outcome: Outcome;
+    /** Reason of the system's own answer, or "answered" for the upstream's. */
+    readonly reason: string;
+    readonly seconds: number;
+}
+
+const durationBucketsSeconds = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Owns the metrics; label sets are bounded by the policy's routes and the fixed reasons. */
+export class NodeMetrics {
+    readonly registry = new Registry();
+    private readonly accepted = new Counter({
+        name: "pomelovalve_requests_accepted_total",
+        help: "Requests read from callers and peers.",
+        registers: [this.registry],
+    });
+    private readonly answered = new Counter({
+        name: "pomelovalve_requests_answered_total",
+        help: "Requests that got their final answer, by route, importance, outcome and reason.",
+        labelNames: ["route", "importance", "outcome", "reason"],
+        registers: [this.registry],
+    });
+    private readonly durations = new Histogram({
+        name: "pomelovalve_request_duration_seconds",
+        help: "Time from reading a request to its outcome, by importance.",
+        labelNames: ["importance"],
+        buckets: durationBucketsSeconds,
+        registers: [this.registry],
+    });
+    private readonly retries = new Counter({
+        name: "pomelovalve_retries_total",
+        help: "Retries that this node has made, by called service.",
+        labelNames: ["service"],
+        registers: [this.registry],
+    });
+    private readonly refusals = new Map<string, number>();
+
+    constructor(readFigures: () => ScrapedFigures) {
+        this.registerGauge(
+            "pomelovalve_in_flight_requests",
+            "Requests that the local upstream is running.",
+            () => readFigures().inFlight,
+        );
+        this.registerGauge(
+            "pomelovalve_concurrency_limit",
+            "Requests that the local upstream may run at once.",
+            () => readFigures().limit,
+        );
+        this.registerGauge("pomelovalve_queued_requests", "Requests that wait for a slot.", () => readFigures().queued);
+        this.registerGauge(
+            "pomelovalve_key_records",
+            "Idempotency keys that this node keeps a record of.",
+            () => readFigures().keyRecords,
+        );
+        this.registerGauge(
+            "pomelovalve_policy_version",
+            "Policy version in force, 0 for none.",
+            () => readFigures().policyVersion,
+        );
+        this.registerGauge(
+            "pomelovalve_resident_memory_bytes",
+            "Resident memory of the node.",
+            () => process.memoryUsage.rss(),
+        );
+        this.registerGauge("pomelovalve_processor_seconds", "Processor time that the node has used.", () => {
+            const usage = process.cpuUsage();
+            return (usage.user + usage.system) / 1e6;
+        });
+    }
+
+    countAccepted(): void {
+        this.accepted.inc();
+    }
+
+    countServed(served: ServedRequest): void {
+        const { route, importance, outcome, reason } = served;
+        this.answered.inc({ route, importance, outcome, reason });
+        this.durations.observe({ importance }, served.seconds);
+        if (reason !== "answered") {
+            this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
+        }
+    }
+
+    countRetry(service: string): void {
+        this.retries.inc({ service });
+    }
+
+    /** Lists how often the node gave answers of its own, by reason. */
+    listRefusals(): Readonly<Record<string, number>> {
+        return Object.fromEntries(this.refusals);
+    }
+
+    private registerGauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/src/testing/createPolicy.ts
@@ -0,0 +1,43 @@
+import { type Policy, type RoutePolicy, type ServicePolicy } from "../policy/types";
+
+const lookUp: RoutePolicy = {
+    name: "look-up",
+    method: "GET",
+    path: "/items/:item",
+    importance: "normal",
+    idempotent: true,
+    deadlineMs: 1_000,
+};
+
+const book: RoutePolicy = {
+    name: "book",
+    method: "POST",
+    path: "/bookings",
+    importance: "critical",
+    idempotent: false,
+    deadlineMs: 1_000,
+};
+
+/** Creates what a policy says of a service, with changes. */
+export const createServicePolicy = (change: Partial<ServicePolicy> = {}): ServicePolicy => ({
+    slots: 10,
+    connections: 100,
+    queue: { maxLength: 10, maxWaitMs: 100 },
+    reservedShare: 0.3,
+    notRunStatuses: [],
+    endpoints: [
+        { name: "desk-a", failureDomain: "zone-a" },
+        { name: "desk-b", failureDomain: "zone-b" },
+    ],
+    routes: [lookUp, book],
+    ...change,
+});
+
+/** Creates a policy with one service, with changes. */
+export const createPolicy = (change: Partial<Policy> = {}): Policy => ({
+    name: "test-graph",
+    retryLimit: 3,
+    drainLimitMs: 5_000,
+    services: { desk: createServicePolicy() },
+    ...change,
+});
