--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -13,6 +13,7 @@
 export const limitWindowMs = 100;
 export const pauseThresholdMs = 1_000;
 
+export const closeGraceMs = 500;
 export const keepAliveTimeoutMs = 60_000;
 export const upstreamKeepAliveMs = 4_000;
 export const peerConnections = 64;
--- a/src/tasks/_lib/attempt.ts
+++ b/src/tasks/_lib/attempt.ts
@@ -1,10 +1,10 @@
 /** One attempt of a call over one connection, and its result as a value. */
-import { type IncomingMessage } from "node:http";
 import { type Dispatcher } from "undici";
 import { type AnswerHead, type AnswerSink } from "./answerSink";
+import { BodyTooLargeError, type RequestBody } from "./readBody";
 
 /** Why an attempt came to no whole answer. */
-export type BreakCause = "connection" | "timeout" | "cancelled" | "unframed";
+export type BreakCause = "connection" | "timeout" | "cancelled" | "unframed" | "body-too-large";
 
 /** How an attempt ended. */
 export type AttemptResult =
@@ -26,7 +26,7 @@
     readonly method: string;
     readonly path: string;
     readonly rawHeaders: string[];
-    readonly body: Buffer | IncomingMessage | undefined;
+    readonly body: RequestBody;
 }
 
 const firstFinalStatus = 200;
@@ -112,9 +112,10 @@
         this.owner.finish({ kind: "answered", head: this.head!, passedOn: this.sink !== undefined });
     }
 
-    onError(): void {
+    onError(error: Error): void {
         if (!this.finished) {
-            this.finishBroken(this.breakCause ?? "connection");
+            const cause = error instanceof BodyTooLargeError ? "body-too-large" : "connection";
+            this.finishBroken(this.breakCause ?? cause);
         }
     }
 
--- a/src/tasks/_lib/readBody.ts
+++ b/src/tasks/_lib/readBody.ts
@@ -1,8 +1,25 @@
 import { type IncomingMessage } from "node:http";
+import { type Readable, Transform } from "node:stream";
 import { maxReplayBodyBytes } from "../../constants";
 
 /** A request body: whole in memory when it is small, otherwise the stream itself. */
-export type RequestBody = Buffer | IncomingMessage | undefined;
+export type RequestBody = Buffer | Readable | undefined;
+
+/** A streamed body grew larger than the bound on request bodies. */
+export class BodyTooLargeError extends Error {}
+
+/** Passes a body of unknown length on, up to a bound. */
+const createBoundedBody = (request: IncomingMessage, maxBytes: number): Readable => {
+    let size = 0;
+    const bounded = new Transform({
+        transform: (chunk: Buffer, encoding, callback) => {
+            size += chunk.length;
+            callback(size > maxBytes ? new BodyTooLargeError(`more than ${maxBytes} bytes`) : undefined, chunk);
+        },
+    });
+    request.once("aborted", () => bounded.destroy(new Error("the request broke off")));
+    return request.pipe(bounded);
+};
 
 /** Result of taking a body from a request. */
 export type BodyResult =
@@ -67,5 +84,6 @@
         readWhole(request, options.maxBytes, finish);
         return;
     }
-    finish({ kind: "body", body: request });
+    const body = length === undefined ? createBoundedBody(request, options.maxBytes) : request;
+    finish({ kind: "body", body });
 };
--- a/src/tasks/egress/index.ts
+++ b/src/tasks/egress/index.ts
@@ -18,7 +18,7 @@
 } from "../_lib/headers";
 import { closeListener, openListener } from "../_lib/openListener";
 import { type Problem, sendProblemResponse } from "../_lib/problem";
-import { readBody } from "../_lib/readBody";
+import { readBody, type RequestBody } from "../_lib/readBody";
 import { type Forwarder } from "../forwarder";
 import { type Ledger } from "../ledger";
 import { type PolicyTask } from "../policy";
@@ -127,7 +127,7 @@
         outgoing: {
             readonly target: Target;
             readonly match: RouteMatch;
-            readonly body: Buffer | IncomingMessage | undefined;
+            readonly body: RequestBody;
         },
     ): void {
         const { match, target, body } = outgoing;
--- a/src/tasks/forwarder/exchange.ts
+++ b/src/tasks/forwarder/exchange.ts
@@ -88,6 +88,14 @@
             detail: "the deadline passed before an answer came",
         };
     }
+    if (cause === "body-too-large") {
+        return {
+            status: 413,
+            reason: "body-too-large",
+            outcome,
+            detail: "the body grew past the bound while it was sent on",
+        };
+    }
     const isUnsent = outcome === "not-run";
     return {
         status: isUnsent ? 503 : 502,
--- a/src/tasks/forwarder/forwardedCall.ts
+++ b/src/tasks/forwarder/forwardedCall.ts
@@ -1,5 +1,4 @@
 /** One call on its way to another node, over as many attempts as its allowance permits. */
-import { type IncomingMessage } from "node:http";
 import { type Dispatcher } from "undici";
 import { type Candidate, chooseInstance, countRoomy } from "../../decisions/chooseInstance";
 import { computeBackoff } from "../../decisions/computeBackoff";
@@ -9,6 +8,7 @@
 import { Attempt, type AttemptOwner, type AttemptResult, sendAttempt } from "../_lib/attempt";
 import { actionHeader, findHeader, leavingHeader, loadHeader, unusedRetriesHeader } from "../_lib/headers";
 import { type Problem, sendProblem } from "../_lib/problem";
+import { type RequestBody } from "../_lib/readBody";
 import { type Timeout } from "../_lib/timerWheel";
 import { type Call } from "../types";
 import {
@@ -36,7 +36,7 @@
     readonly path: string;
     /** Headers to pass on, without hop-by-hop ones. */
     readonly rawHeaders: readonly string[];
-    readonly body: Buffer | IncomingMessage | undefined;
+    readonly body: RequestBody;
     /** Whether repeating the request does no harm. */
     readonly repeatable: boolean;
     /** The only endpoint that may serve the request, if there is one. */
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -15,7 +15,7 @@
 import { actionHeader, leavingHeader, requestHeadersSetAnew, stripHeaders } from "../_lib/headers";
 import { closeListener, openListener } from "../_lib/openListener";
 import { type Problem, sendProblemResponse } from "../_lib/problem";
-import { readBody } from "../_lib/readBody";
+import { readBody, type RequestBody } from "../_lib/readBody";
 import { type TimerWheel } from "../_lib/timerWheel";
 import { type Admission } from "../admission";
 import { type Forwarder } from "../forwarder";
@@ -146,7 +146,7 @@
         return computeHome(incoming.call.caller, incoming.key!, endpoints);
     }
 
-    private readBody(incoming: Incoming, use: (body: Buffer | IncomingMessage | undefined) => void): void {
+    private readBody(incoming: Incoming, use: (body: RequestBody) => void): void {
         const { request, response } = incoming;
         if (request.headers.expect !== undefined) {
             response.writeContinue();
@@ -166,7 +166,7 @@
         });
     }
 
-    private serve(incoming: Incoming, body: Buffer | IncomingMessage | undefined): void {
+    private serve(incoming: Incoming, body: RequestBody): void {
         const served = new ServedCall(
             {
                 ...this.createServeOrder(incoming, body),
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -1,5 +1,4 @@
 /** One request that the local upstream serves: its slot, its attempt, its answer. */
-import { type IncomingMessage } from "node:http";
 import { type Dispatcher } from "undici";
 import { minForwardMs, refusalRetryAfterSeconds } from "../../constants";
 import { deriveOutcome } from "../../decisions/deriveOutcome";
@@ -20,6 +19,7 @@
     unusedRetriesHeader,
 } from "../_lib/headers";
 import { type Problem, sendProblem } from "../_lib/problem";
+import { type RequestBody } from "../_lib/readBody";
 import { type Timeout, type TimerWheel } from "../_lib/timerWheel";
 import { type Admission, type RefusalReason, type SlotApplicant, type SlotResult } from "../admission";
 import { type Ledger } from "../ledger";
@@ -42,7 +42,7 @@
     readonly method: string;
     readonly path: string;
     readonly rawHeaders: readonly string[];
-    readonly body: Buffer | IncomingMessage | undefined;
+    readonly body: RequestBody;
     /** Whether the answer goes to another node, which gets the figures for its decisions. */
     readonly forPeer: boolean;
     readonly sink: AnswerSink;
@@ -242,6 +242,14 @@
             detail: "neither a length nor chunks frame the answer",
         };
     }
+    if (cause === "body-too-large") {
+        return {
+            status: 413,
+            reason: "body-too-large",
+            outcome,
+            detail: "the body grew past the bound while it was sent on",
+        };
+    }
     if (outcome === "not-run") {
         return {
             status: 503,
--- /dev/null
+++ b/src/tasks/ingress/test.ts
@@ -0,0 +1,278 @@
+import { createHash } from "node:crypto";
+import { createServer as createTcpServer, type Server as TcpServer } from "node:net";
+import { Readable } from "node:stream";
+import { Agent, request } from "undici";
+import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
+import { awaitCondition, TestGraph, type UpstreamHandler } from "../../testing/startTestGraph";
+
+const route = { importance: "normal", idempotent: true, deadlineMs: 5_000 } as const;
+
+const createTestPolicy = () =>
+    createPolicy({
+        services: {
+            desk: createServicePolicy({
+                endpoints: [{ name: "desk-a", failureDomain: "zone-a" }],
+                queue: { maxLength: 2, maxWaitMs: 2_000 },
+                slots: 2,
+                notRunStatuses: [503],
+                routes: [
+                    { ...route, name: "get", method: "GET", path: "/*" },
+                    { ...route, name: "put", method: "PUT", path: "/*" },
+                    { ...route, name: "book", method: "POST", path: "/*", importance: "critical", idempotent: false },
+                ],
+            }),
+        },
+    });
+
+const startGraph = (handler: UpstreamHandler): Promise<TestGraph> =>
+    new TestGraph({ policy: createTestPolicy(), upstreams: { desk: () => handler } }).start();
+
+const megabyte = 1024 * 1024;
+
+describe("ingress over real connections", () => {
+    let graph: TestGraph | undefined;
+    let rawServer: TcpServer | undefined;
+    let agent: Agent;
+
+    beforeEach(() => {
+        agent = new Agent();
+    });
+
+    afterEach(async () => {
+        await agent.destroy();
+        await graph?.stop();
+        rawServer?.close();
+        graph = undefined;
+        rawServer = undefined;
+    });
+
+    const start = async (handler: UpstreamHandler): Promise<string> => {
+        graph = await startGraph(handler);
+        return graph.getNode("desk-a").callers;
+    };
+
+    /** Starts the graph with an upstream that writes raw bytes and then closes. */
+    const startRaw = async (bytes: string): Promise<string> => {
+        const origin = await start(() => undefined);
+        const port = graph!.getNode("desk-a").settings.upstream.port;
+        graph!.getNode("desk-a").upstream.closeAllConnections();
+        await new Promise(resolve => graph!.getNode("desk-a").upstream.close(resolve));
+        rawServer = createTcpServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => socket.end(bytes));
+        });
+        await new Promise<void>(resolve => rawServer!.listen(port, "127.0.0.1", resolve));
+        return origin;
+    };
+
+    it.each([
+        ["a body with a length", { "content-length": "5" }, "hello"],
+        ["a body in chunks", {}, "hello"],
+    ])("passes on %s", async (name, headers, body) => {
+        const origin = await start((incoming, response) => {
+            response.writeHead(201, { ...headers, "x-kind": name, etag: '"7"' });
+            response.end(body);
+        });
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        expect(await answer.body.text()).toBe(body);
+        expect(answer.statusCode).toBe(201);
+        expect(answer.headers["etag"]).toBe('"7"');
+        expect(answer.headers["pomelovalve-outcome"]).toBe("completed");
+    });
+
+    it.each([204, 304])("passes on a status %d without a body", async status => {
+        const origin = await start((incoming, response) => response.writeHead(status).end());
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        expect(answer.statusCode).toBe(status);
+        expect(await answer.body.text()).toBe("");
+    });
+
+    it("passes on the answer to HEAD with the length and without the body", async () => {
+        const origin = await start((incoming, response) => response.writeHead(200, { "content-length": "500" }).end());
+        const answer = await request(`${origin}/x`, { method: "HEAD", dispatcher: agent });
+        expect(answer.statusCode).toBe(200);
+        expect(answer.headers["content-length"]).toBe("500");
+        expect(await answer.body.text()).toBe("");
+    });
+
+    it("passes over informational answers and takes the final one", async () => {
+        const origin = await start((incoming, response) => {
+            response.writeProcessing();
+            response.end("final");
+        });
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        expect(await answer.body.text()).toBe("final");
+    });
+
+    it("removes hop-by-hop headers and those that Connection names, in both directions", async () => {
+        const seen: string[] = [];
+        const origin = await start((incoming, response) => {
+            seen.push(...Object.keys(incoming.headers));
+            response.writeHead(200, { connection: "x-private", "x-private": "1", "x-public": "1" });
+            response.end("ok");
+        });
+        const answer = await request(`${origin}/x`, {
+            dispatcher: agent,
+            headers: { te: "trailers", "x-sent": "1", "pomelovalve-retries": "99" },
+        });
+        await answer.body.text();
+        expect(seen).toContain("x-sent");
+        expect(seen).not.toContain("te");
+        expect(seen).not.toContain("pomelovalve-retries");
+        expect(answer.headers["x-public"]).toBe("1");
+        expect(answer.headers["x-private"]).toBeUndefined();
+    });
+
+    it("never passes a truncated body with a length on as whole", async () => {
+        const origin = await startRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        await expect(answer.body.text()).rejects.toThrow();
+    });
+
+    it("never passes a truncated body in chunks on as whole", async () => {
+        const origin = await startRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        await expect(answer.body.text()).rejects.toThrow();
+    });
+
+    it("refuses an answer whose end can't be told from a broken connection", async () => {
+        const origin = await startRaw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nperhaps whole");
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        expect(answer.statusCode).toBe(502);
+        expect(await answer.body.json()).toMatchObject({ type: "urn:pomelovalve:upstream-unframed" });
+    });
+
+    it("tells a request as not run when the upstream refuses the connection, with when to come back", async () => {
+        const origin = await startRaw("");
+        await new Promise(resolve => rawServer!.close(resolve));
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        expect(answer.statusCode).toBe(503);
+        expect(answer.headers["retry-after"]).toBe("1");
+        expect(answer.headers["content-type"]).toBe("application/problem+json");
+        expect(await answer.body.json()).toMatchObject({ outcome: "not-run" });
+    });
+
+    it("tells a request as possibly run when the upstream breaks off before its answer", async () => {
+        const origin = await startRaw("");
+        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        expect(await answer.body.json()).toMatchObject({ status: 502, outcome: "may-have-run" });
+    });
+
+    it("streams 64 MB both ways while its memory stays flat", async () => {
+        const origin = await start((incoming, response) => {
+            response.writeHead(200, { "content-length": incoming.headers["content-length"]! });
+            incoming.pipe(response);
+        });
+        const chunk = Buffer.alloc(megabyte, 7);
+        let sent = 0;
+        const body = new Readable({
+            read() {
+                sent += 1;
+                this.push(sent <= 64 ? chunk : null); // eslint-disable-line no-restricted-syntax
+            },
+        });
+        const before = process.memoryUsage().arrayBuffers;
+        let highest = 0;
+        const answer = await request(`${origin}/x`, {
+            method: "PUT",
+            dispatcher: agent,
+            headers: { "content-length": String(64 * megabyte) },
+            body,
+        });
+        const hash = createHash("sha256");
+        for await (const part of answer.body) {
+            hash.update(part as Buffer);
+            highest = Math.max(highest, process.memoryUsage().arrayBuffers);
+        }
+        const expected = createHash("sha256");
+        Array.from({ length: 64 }, () => expected.update(chunk));
+        expect(hash.digest("hex")).toBe(expected.digest("hex"));
+        expect(highest - before).toBeLessThan(48 * megabyte);
+    });
+
+    it("cancels the upstream's work when the caller goes away", async () => {
+        let closed = false;
+        const origin = await start((incoming, response) => {
+            response.once("close", () => {
+                closed = true;
+            });
+        });
+        const controller = new AbortController();
+        const sent = request(`${origin}/x`, { dispatcher: agent, signal: controller.signal });
+        await awaitCondition(() => graph!.getNode("desk-a").node.readStatus().inFlight === 1, "request in flight");
+        controller.abort();
+        await expect(sent).rejects.toThrow();
+        await awaitCondition(() => closed, "upstream's request closed");
+        await awaitCondition(() => graph!.getNode("desk-a").node.readStatus().inFlight === 0, "slot given back");
+    });
+
+    it("answers 504 at the deadline that the caller states, and frees the slot", async () => {
+        const origin = await start(() => undefined);
+        const answer = await request(`${origin}/x`, { dispatcher: agent, headers: { "pomelovalve-deadline": "50" } });
+        expect(answer.statusCode).toBe(504);
+        expect(answer.headers["pomelovalve-outcome"]).toBe("may-have-run");
+        await answer.body.dump();
+        expect(graph!.getNode("desk-a").node.readStatus().inFlight).toBe(0);
+    });
+
+    it("finishes what is in flight and what waits before a shutdown, and refuses new work as not run", async () => {
+        const finishes: (() => void)[] = [];
+        const origin = await start((incoming, response) => {
+            finishes.push(() => response.end("whole"));
+        });
+        const { node } = graph!.getNode("desk-a");
+        const sent = [1, 2].map(number => request(`${origin}/${number}`, { dispatcher: agent }));
+        await awaitCondition(() => node.readStatus().inFlight === 1 || finishes.length === 2, "in flight");
+        const late = await request(`${origin}/warm`, { dispatcher: agent, headers: { "pomelovalve-deadline": "20" } });
+        await late.body.dump();
+        const drained = node.drain();
+        const refused = await request(`${origin}/new`, { dispatcher: agent });
+        expect(refused.headers["pomelovalve-leaving"]).toBe("1");
+        expect(await refused.body.json()).toMatchObject({ type: "urn:pomelovalve:leaving", outcome: "not-run" });
+        const timer = setInterval(() => finishes.forEach(finish => finish()), 5);
+        const answers = await Promise.all(sent);
+        expect(await Promise.all(answers.map(answer => answer.body.text()))).toEqual(["whole", "whole"]);
+        await drained;
+        clearInterval(timer);
+    });
+
+    it("refuses a body over the bound before reading it", async () => {
+        graph = await new TestGraph({
+            policy: createTestPolicy(),
+            upstreams: { desk: () => (incoming, response) => response.end("ran") },
+            settings: { maxRequestBodyBytes: 10 },
+        }).start();
+        const answer = await request(`${graph.getNode("desk-a").callers}/x`, {
+            method: "PUT",
+            dispatcher: agent,
+            body: "more than ten bytes",
+        });
+        expect(answer.statusCode).toBe(413);
+        await answer.body.dump();
+    });
+
+    it("stops a body in chunks once it passes the bound", async () => {
+        let received = 0;
+        graph = await new TestGraph({
+            policy: createTestPolicy(),
+            upstreams: {
+                desk: () => (incoming, response) => {
+                    incoming.on("data", (part: Buffer) => {
+                        received += part.length;
+                    });
+                    incoming.on("end", () => response.end("ran"));
+                },
+            },
+            settings: { maxRequestBodyBytes: 100_000 },
+        }).start();
+        const parts = Array.from({ length: 50 }, () => Buffer.alloc(10_000));
+        const answer = await request(`${graph.getNode("desk-a").callers}/x`, {
+            method: "PUT",
+            dispatcher: agent,
+            body: Readable.from(parts),
+        }).catch(() => undefined);
+        expect(answer?.statusCode ?? 413).toBe(413);
+        await answer?.body.dump();
+        expect(received).toBeLessThanOrEqual(100_000);
+    });
+});
--- /dev/null
+++ b/src/tasks/keyRecords/test.ts
@@ -0,0 +1,87 @@
+import { Agent, request } from "undici";
+import { v7 } from "uuid";
+import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
+import { awaitCondition, TestGraph, type UpstreamHandler } from "../../testing/startTestGraph";
+
+const createKeyedPolicy = () =>
+    createPolicy({
+        services: { desk: createServicePolicy({ endpoints: [{ name: "desk-a", failureDomain: "zone-a" }] }) },
+    });
+
+describe("requests with a key over real connections", () => {
+    let graph: TestGraph | undefined;
+    let agent: Agent;
+
+    beforeEach(() => {
+        agent = new Agent();
+    });
+
+    afterEach(async () => {
+        await agent.destroy();
+        await graph?.stop();
+        graph = undefined;
+    });
+
+    const start = async (handler: UpstreamHandler): Promise<string> => {
+        graph = await new TestGraph({ policy: createKeyedPolicy(), upstreams: { desk: () => handler } }).start();
+        return graph.getNode("desk-a").callers;
+    };
+
+    it("runs a keyed request once, and gives the whole first answer to the second sender", async () => {
+        let runs = 0;
+        const origin = await start((incoming, response) => {
+            runs += 1;
+            response.end(`run ${runs}`);
+        });
+        const send = (key: string, body: string, authorization = "Bearer one") =>
+            request(`${origin}/bookings`, {
+                method: "POST",
+                dispatcher: agent,
+                headers: { "idempotency-key": key, authorization },
+                body,
+            });
+        const key = v7();
+        const first = await send(key, "a");
+        const second = await send(key, "a");
+        expect([await first.body.text(), await second.body.text()]).toEqual(["run 1", "run 1"]);
+        const otherBody = await send(key, "b");
+        expect(otherBody.statusCode).toBe(422);
+        expect(await otherBody.body.text()).not.toContain("run 1");
+        const otherCaller = await send(key, "a", "Bearer two");
+        expect(await otherCaller.body.text()).toBe("run 2");
+    });
+
+    it("runs a keyed request to its end when its caller goes away, and keeps the answer", async () => {
+        let finish: () => void = () => undefined;
+        let runs = 0;
+        const origin = await start((incoming, response) => {
+            runs += 1;
+            finish = () => response.end("done");
+        });
+        const headers = { "idempotency-key": v7() };
+        const controller = new AbortController();
+        const options = { method: "POST", dispatcher: agent, headers, body: "a" } as const;
+        const first = request(`${origin}/bookings`, { ...options, signal: controller.signal });
+        await awaitCondition(() => runs === 1, "first run");
+        controller.abort();
+        await expect(first).rejects.toThrow();
+        const second = request(`${origin}/bookings`, options);
+        finish();
+        expect(await (await second).body.text()).toBe("done");
+        expect(runs).toBe(1);
+    });
+
+    it("asks for a UUID of version 7 as the key", async () => {
+        const origin = await start((incoming, response) => response.end("ran"));
+        const answer = await request(`${origin}/bookings`, {
+            method: "POST",
+            dispatcher: agent,
+            headers: { "idempotency-key": "order-1" },
+        });
+        expect(answer.statusCode).toBe(400);
+        expect(await answer.body.json()).toMatchObject({
+            type: "urn:pomelovalve:key-not-acceptable",
+            outcome: "not-run",
+        });
+    });
+});
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -4,7 +4,7 @@
 import { createRandom } from "../_lib/createRandom";
 import { defaultDrainLimitMs, peerConnections } from "../constants";
 import { type Settings } from "../settings/types";
-import { systemClock } from "./_lib/clock";
+import { type Clock, systemClock } from "./_lib/clock";
 import { TimerWheel } from "./_lib/timerWheel";
 import { Admission } from "./admission";
 import { type AuditEntry, AuditTrail } from "./audit";
@@ -26,15 +26,14 @@
 
 /** One node: the process in the slot beside an upstream. */
 export class PomelovalveNode {
-    private readonly clock = systemClock;
     private readonly bus = new MessageBus();
-    private readonly wheel = new TimerWheel(this.clock);
+    private readonly wheel: TimerWheel;
     private readonly lifecycle = new Lifecycle(this.bus);
-    private readonly policy = new PolicyTask(this.bus, this.clock.readWallMs);
-    private readonly directory = new Directory(this.clock);
+    private readonly policy: PolicyTask;
+    private readonly directory: Directory;
     private readonly ledger = new Ledger();
-    private readonly keyRecords = new KeyRecords(this.clock);
-    private readonly admission = new Admission(this.wheel, this.clock.readMonotonicMs);
+    private readonly keyRecords: KeyRecords;
+    private readonly admission: Admission;
     private readonly metrics: NodeMetrics;
     private readonly audit: AuditTrail;
     private readonly platform: PlatformTask;
@@ -42,11 +41,21 @@
     private readonly ingress: Ingress;
     private readonly egress: Egress;
     private readonly control: Control;
-    private readonly startedAtMs = this.clock.readMonotonicMs();
+    private readonly startedAtMs: number;
     private platformReached = false;
 
-    constructor(private readonly settings: Settings, private readonly logger: Logger) {
-        const { clock, bus, wheel, lifecycle, policy, directory, ledger, keyRecords, admission } = this;
+    constructor(
+        private readonly settings: Settings,
+        private readonly logger: Logger,
+        private readonly clock: Clock = systemClock,
+    ) {
+        this.startedAtMs = clock.readMonotonicMs();
+        this.wheel = new TimerWheel(clock);
+        this.policy = new PolicyTask(this.bus, clock.readWallMs);
+        this.directory = new Directory(clock);
+        this.keyRecords = new KeyRecords(clock);
+        this.admission = new Admission(this.wheel, clock.readMonotonicMs);
+        const { bus, wheel, lifecycle, policy, directory, ledger, keyRecords, admission } = this;
         const sampleRandom = createRandom(process.pid ^ clock.readWallMs());
         const isDraining = (): boolean => lifecycle.isDraining();
         this.metrics = new NodeMetrics(() => ({
@@ -135,7 +144,8 @@
         this.logger.info({ sequence: entry.sequence, ...entry.fields }, entry.event);
     }
 
-    private readStatus(): NodeStatus {
+    /** Reads what the node tells operators of itself. */
+    readStatus(): NodeStatus {
         const { endpoint, service, failureDomain, region } = this.settings;
         const { inForce } = this.policy;
         const usage = process.cpuUsage();
