Separate the deciding core of a node from its sockets

Ruled out: mocking node:http and undici modules in tests (tests their shapes, not the decisions). Change: NodeCore wires the tasks that decide; PomelovalveNode adds listeners, pools and the platform. Requests reach ingress and egress as CallRequest, other nodes through PeerPools, time through Clock.

--- a/bench/_lib/cluster.ts
+++ b/bench/_lib/cluster.ts
@@ -4,9 +4,10 @@
 import { createPolicyLog } from "../../src/policy/createPolicyLog";
 import { type PolicyLog } from "../../src/policy/types";
 import { type ChildRouting, type UpstreamConfig, type UpstreamReport } from "../../src/standins/types";
+import { findFreePorts } from "../../src/testing/findFreePort";
 import { type Address, type Instance } from "../../src/types";
 import { type Scenario } from "../types";
-import { findFreePorts } from "./findFreePorts";
+
 import { Processes } from "./processes";
 
 const host = "127.0.0.1";
--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -5,6 +5,7 @@
 export const minForwardMs = 2;
 
 export const maxReplayBodyBytes = 64 * 1024;
+export const maxKeyedBodyBytes = 1024 * 1024;
 export const maxHeaderBytes = 16 * 1024;
 export const defaultMaxRequestBodyBytes = 256 * 1024 * 1024;
 export const maxPolicyLogBytes = 1024 * 1024;
--- a/src/tasks/_lib/attempt.ts
+++ b/src/tasks/_lib/attempt.ts
@@ -21,6 +21,9 @@
     finish(result: AttemptResult): void;
 }
 
+/** The part of a connection pool that attempts need. */
+export type Dispatch = Pick<Dispatcher, "dispatch">;
+
 /** A request as it goes to the next hop. */
 export interface OutgoingRequest {
     readonly method: string;
@@ -131,7 +134,7 @@
 }
 
 /** Sends a request over a connection of a pool; the attempt hears of its answer. */
-export const sendAttempt = (pool: Dispatcher, request: OutgoingRequest, attempt: Attempt): void => {
+export const sendAttempt = (pool: Dispatch, request: OutgoingRequest, attempt: Attempt): void => {
     pool.dispatch(
         {
             method: request.method as Dispatcher.HttpMethod,
--- a/src/tasks/_lib/createCall.ts
+++ b/src/tasks/_lib/createCall.ts
@@ -1,11 +1,11 @@
-import { type IncomingMessage } from "node:http";
 import { v7, validate, version } from "uuid";
 import { actionFreshnessMs } from "../../constants";
 import { mergeImportance, parseImportance } from "../../decisions/mergeImportance";
 import { parseDeadline } from "../../decisions/parseDeadline";
 import { type Call, type RouteMatch } from "../types";
+import { type CallRequest, findRequestHeader } from "./callRequest";
 import { type Clock } from "./clock";
-import { actionHeader, callerHeader, deadlineHeader, findHeader, importanceHeader, retriesHeader } from "./headers";
+import { actionHeader, callerHeader, deadlineHeader, importanceHeader, retriesHeader } from "./headers";
 
 const timestampHexDigits = 12;
 
@@ -15,8 +15,8 @@
 const computeAgeMs = (action: string, clock: Clock): number =>
     clock.readWallMs() - Number.parseInt(action.replaceAll("-", "").slice(0, timestampHexDigits), 16);
 
-const computeDeadline = (request: IncomingMessage, match: RouteMatch, clock: Clock): number => {
-    const asked = parseDeadline(findHeader(request.rawHeaders, deadlineHeader));
+const computeDeadline = (request: CallRequest, match: RouteMatch, clock: Clock): number => {
+    const asked = parseDeadline(findRequestHeader(request, deadlineHeader));
     return clock.readMonotonicMs() + Math.min(match.route.deadlineMs, asked ?? match.route.deadlineMs);
 };
 
@@ -32,13 +32,13 @@
  * Only an action minted just now gets retries, so that a caller's own resend gains none.
  */
 export const createEntryCall = (
-    request: IncomingMessage,
+    request: CallRequest,
     caller: string,
     retryLimit: number,
     options: CallOptions,
 ): Call => {
     const { id, match, clock } = options;
-    const stated = findHeader(request.rawHeaders, actionHeader);
+    const stated = findRequestHeader(request, actionHeader);
     const action = isActionId(stated) ? stated : v7();
     const isFresh = Math.abs(computeAgeMs(action, clock)) <= actionFreshnessMs;
     return {
@@ -52,15 +52,15 @@
 };
 
 /** Creates the call of a request from another node, whose statements are trusted within the policy's bounds. */
-export const createPeerCall = (request: IncomingMessage, retryLimit: number, options: CallOptions): Call => {
+export const createPeerCall = (request: CallRequest, retryLimit: number, options: CallOptions): Call => {
     const { id, match, clock } = options;
-    const stated = findHeader(request.rawHeaders, actionHeader);
-    const retries = Number(findHeader(request.rawHeaders, retriesHeader) ?? 0);
-    const inherited = parseImportance(findHeader(request.rawHeaders, importanceHeader));
+    const stated = findRequestHeader(request, actionHeader);
+    const retries = Number(findRequestHeader(request, retriesHeader) ?? 0);
+    const inherited = parseImportance(findRequestHeader(request, importanceHeader));
     return {
         id,
         action: isActionId(stated) ? stated : v7(),
-        caller: findHeader(request.rawHeaders, callerHeader) ?? "anonymous",
+        caller: findRequestHeader(request, callerHeader) ?? "anonymous",
         importance: mergeImportance(inherited, match.route.importance),
         deadlineAtMs: computeDeadline(request, match, clock),
         retries: Number.isInteger(retries) ? Math.min(retryLimit, Math.max(0, retries)) : 0,
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -1,5 +1,4 @@
 /** Refusals and errors as application/problem+json (RFC 9457). */
-import { type ServerResponse } from "node:http";
 import { type Outcome } from "../../types";
 import { type AnswerHead, type AnswerSink } from "./answerSink";
 import { outcomeHeader } from "./headers";
@@ -97,14 +96,3 @@
     sink.write(answer.body);
     sink.end();
 };
-
-/** Sends a problem as the response to an HTTP request. */
-export const sendProblemResponse = (
-    response: ServerResponse,
-    problem: Problem,
-    extraHeaders: readonly string[] = [],
-): void => {
-    const answer = renderProblem(problem, extraHeaders);
-    response.writeHead(answer.head.status, answer.head.rawHeaders as string[]);
-    response.end(answer.body);
-};
--- a/src/tasks/_lib/timerWheel.ts
+++ b/src/tasks/_lib/timerWheel.ts
@@ -11,7 +11,7 @@
 /** Timer wheel: many short timeouts share one interval timer, which stands still while none is pending. */
 export class TimerWheel {
     private readonly buckets = new Map<number, Set<Timeout>>();
-    private interval: NodeJS.Timeout | undefined;
+    private stopInterval: (() => void) | undefined;
     private lastTick = 0;
 
     constructor(private readonly clock: Clock) {}
@@ -49,17 +49,16 @@
 
     /** Stops the interval timer. */
     stop(): void {
-        clearInterval(this.interval);
-        this.interval = undefined;
+        this.stopInterval?.();
+        this.stopInterval = undefined;
     }
 
     private startInterval(): void {
-        if (this.interval) {
+        if (this.stopInterval) {
             return;
         }
         this.lastTick = Math.floor(this.clock.readMonotonicMs() / sweepIntervalMs);
-        this.interval = setInterval(() => this.expire(), sweepIntervalMs);
-        this.interval.unref();
+        this.stopInterval = this.clock.startInterval(sweepIntervalMs, () => this.expire());
     }
 
     private expireBucket(tick: number): void {
--- a/src/tasks/forwarder/forwardedCall.ts
+++ b/src/tasks/forwarder/forwardedCall.ts
@@ -1,5 +1,4 @@
 /** One call on its way to another node, over as many attempts as its allowance permits. */
-import { type Dispatcher } from "undici";
 import { type Candidate, chooseInstance, countRoomy } from "../../decisions/chooseInstance";
 import { computeBackoff } from "../../decisions/computeBackoff";
 import { type AttemptEnd, decideRetry } from "../../decisions/decideRetry";
@@ -60,11 +59,7 @@
     private deadline: Timeout | undefined;
     private backoff: Timeout | undefined;
 
-    constructor(
-        private readonly order: ForwardOrder,
-        private readonly parts: ForwarderParts,
-        private readonly openPool: (address: Address) => Dispatcher,
-    ) {}
+    constructor(private readonly order: ForwardOrder, private readonly parts: ForwarderParts) {}
 
     start(): void {
         const remainingMs = this.computeRemainingMs();
@@ -161,7 +156,7 @@
         const { method, path, body } = this.order;
         this.attempt = new Attempt(method, this);
         sendAttempt(
-            this.openPool(address),
+            this.parts.peers.open(address),
             {
                 method,
                 path,
--- a/src/tasks/forwarder/index.ts
+++ b/src/tasks/forwarder/index.ts
@@ -1,7 +1,6 @@
 /** Forwards calls to the nodes of other instances: choice of instance, retries, cancellation. */
-import { Pool } from "undici";
-import { peerConnections, upstreamKeepAliveMs } from "../../constants";
 import { type Address } from "../../types";
+import { type Dispatch } from "../_lib/attempt";
 import { type Clock } from "../_lib/clock";
 import { type TimerWheel } from "../_lib/timerWheel";
 import { type Directory } from "../directory";
@@ -9,6 +8,14 @@
 import { type NodeMetrics } from "../metrics";
 import { ForwardedCall, type ForwardOrder } from "./forwardedCall";
 
+/** Connections to other nodes. */
+export interface PeerPools {
+    /** Returns the connections to an address. */
+    open(address: Address): Dispatch;
+    /** Closes the connections to addresses that no instance has any more. */
+    closeUnused(addresses: readonly Address[]): void;
+}
+
 /** What forwarded calls share. */
 export interface ForwarderParts {
     readonly clock: Clock;
@@ -16,51 +23,20 @@
     readonly directory: Directory;
     readonly ledger: Ledger;
     readonly metrics: NodeMetrics;
+    readonly peers: PeerPools;
     readonly failureDomain: string;
     /** Draws a number in [0, 1). */
     readonly sampleRandom: () => number;
 }
 
-/** Owns the connections to other nodes. */
+/** Starts forwarded calls. */
 export class Forwarder {
-    private readonly pools = new Map<string, Pool>();
-
     constructor(private readonly parts: ForwarderParts) {}
 
     /** Forwards a call; returns what cancels it. */
     forward(order: ForwardOrder): () => void {
-        const forwarded = new ForwardedCall(order, this.parts, address => this.openPool(address));
+        const forwarded = new ForwardedCall(order, this.parts);
         forwarded.start();
         return () => forwarded.cancel();
     }
-
-    /** Closes the connections to addresses that no instance has any more. */
-    closeUnusedPools(addresses: readonly Address[]): void {
-        const kept = new Set(addresses.map(address => `${address.host}:${address.port}`));
-        [...this.pools].filter(([key]) => !kept.has(key)).forEach(([key, pool]) => {
-            this.pools.delete(key);
-            void pool.close();
-        });
-    }
-
-    /** Closes all connections once their calls have ended. */
-    async stop(): Promise<void> {
-        await Promise.all([...this.pools.values()].map(pool => pool.close()));
-    }
-
-    private openPool(address: Address): Pool {
-        const key = `${address.host}:${address.port}`;
-        const existing = this.pools.get(key);
-        if (existing) {
-            return existing;
-        }
-        const pool = new Pool(`http://${key}`, {
-            connections: peerConnections,
-            pipelining: 1,
-            keepAliveTimeout: upstreamKeepAliveMs,
-            connect: { timeout: 1_000 },
-        });
-        this.pools.set(key, pool);
-        return pool;
-    }
 }
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -1,21 +1,14 @@
-/** Serves requests from callers and from other nodes in front of the local upstream. */
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Pool } from "undici";
-import {
-    drainRetryAfterSeconds,
-    maxReplayBodyBytes,
-    refusalRetryAfterSeconds,
-    upstreamKeepAliveMs,
-} from "../../constants";
+/** Decides what becomes of requests from callers and from other nodes, in front of the local upstream. */
+import { maxKeyedBodyBytes } from "../../constants";
 import { computeHome } from "../../decisions/computeHome";
 import { type Settings } from "../../settings/types";
 import { type Outcome } from "../../types";
-import { ResponseSink } from "../_lib/answerSink";
+import { type Dispatch } from "../_lib/attempt";
+import { type CallRequest, findRequestHeader } from "../_lib/callRequest";
 import { type Clock } from "../_lib/clock";
 import { actionHeader, leavingHeader, requestHeadersSetAnew, stripHeaders } from "../_lib/headers";
-import { closeListener, openListener } from "../_lib/openListener";
-import { type Problem, sendProblemResponse } from "../_lib/problem";
-import { readBody, type RequestBody } from "../_lib/readBody";
+import { type Problem, sendProblem } from "../_lib/problem";
+import { type RequestBody } from "../_lib/readBody";
 import { type TimerWheel } from "../_lib/timerWheel";
 import { type Admission } from "../admission";
 import { type Forwarder } from "../forwarder";
@@ -25,7 +18,7 @@
 import { type PolicyTask } from "../policy";
 import { computeFingerprint, serveKeyed, TeeSink } from "./keyedRequest";
 import { type Incoming, matchRequest, type Origin } from "./matchRequest";
-import { ServedCall, type ServeOrder } from "./servedCall";
+import { leavingProblem, overloadedProblem, ServedCall, type ServeOrder } from "./servedCall";
 
 /** The tasks that the ingress works with. */
 export interface IngressParts {
@@ -38,52 +31,30 @@
     readonly keyRecords: KeyRecords;
     readonly forwarder: Forwarder;
     readonly metrics: NodeMetrics;
+    /** Connections to the local upstream. */
+    readonly upstream: Dispatch;
     readonly isDraining: () => boolean;
 }
 
-/** Owns the listeners for callers and peers and the connections to the local upstream. */
+/** Owns the requests that have no final answer yet. */
 export class Ingress {
-    private readonly upstream: Pool;
-    private readonly servers: Server[] = [];
     private callCount = 0;
     private inFlight = 0;
 
-    constructor(private readonly parts: IngressParts) {
-        const { host, port } = parts.settings.upstream;
-        this.upstream = new Pool(`http://${host}:${port}`, {
-            pipelining: 1,
-            keepAliveTimeout: upstreamKeepAliveMs,
-            connect: { timeout: 1_000 },
-        });
-    }
+    constructor(private readonly parts: IngressParts) {}
 
     /** Number of requests without their final answer. */
     get pending(): number {
         return this.inFlight;
     }
 
-    async start(): Promise<void> {
-        const { callers, peers } = this.parts.settings.listen;
-        this.servers.push(await openListener(peers, (request, response) => this.handle(request, response, "peer")));
-        if (callers) {
-            this.servers.push(
-                await openListener(callers, (request, response) => this.handle(request, response, "caller")),
-            );
-        }
-    }
-
-    /** Closes the listeners and connections once the requests in flight have ended. */
-    async stop(): Promise<void> {
-        await Promise.all(this.servers.map(closeListener));
-        await this.upstream.close();
-    }
-
-    private handle(request: IncomingMessage, response: ServerResponse, origin: Origin): void {
+    /** Handles a request; its answer goes to the request's sink. */
+    handle(request: CallRequest, origin: Origin): void {
         this.parts.metrics.countAccepted();
         this.callCount += 1;
-        const matched = matchRequest({ request, response, origin }, this.callCount, this.parts);
+        const matched = matchRequest(request, origin, this.callCount, this.parts);
         if (matched.kind === "refused") {
-            this.refuseUnmatched(response, matched.problem);
+            this.refuseUnmatched(request, matched.problem);
             return;
         }
         const { incoming } = matched;
@@ -95,31 +66,19 @@
         this.handleKeyed(incoming);
     }
 
-    private refuseUnmatched(response: ServerResponse, problem: Problem): void {
+    private refuseUnmatched(request: CallRequest, problem: Problem): void {
         const { outcome, reason } = problem;
         this.parts.metrics.countServed({ route: "none", importance: "normal", outcome, reason, seconds: 0 });
-        sendProblemResponse(response, problem);
+        sendProblem(request.sink, problem);
     }
 
     private handleUnkeyed(incoming: Incoming): void {
         if (this.parts.isDraining()) {
-            this.refuse(incoming, {
-                status: 503,
-                reason: "leaving",
-                outcome: "not-run",
-                detail: "this instance takes no new requests",
-                retryAfterSeconds: drainRetryAfterSeconds,
-            });
+            this.refuse(incoming, leavingProblem);
             return;
         }
         if (this.parts.admission.isFull(incoming.call.importance)) {
-            this.refuse(incoming, {
-                status: 503,
-                reason: "overloaded",
-                outcome: "not-run",
-                detail: "all slots and places in the queue are taken",
-                retryAfterSeconds: refusalRetryAfterSeconds,
-            });
+            this.refuse(incoming, overloadedProblem);
             return;
         }
         this.readBody(incoming, body => this.serve(incoming, body));
@@ -137,7 +96,7 @@
                 this.refuse(incoming, { status: 421, reason: "wrong-home", outcome: "may-have-run", detail });
                 return;
             }
-            this.forwardToHome(incoming, body as Buffer | undefined, home!);
+            this.forwardToHome(incoming, body, home!);
         });
     }
 
@@ -147,13 +106,9 @@
     }
 
     private readBody(incoming: Incoming, use: (body: RequestBody) => void): void {
-        const { request, response } = incoming;
-        if (request.headers.expect !== undefined) {
-            response.writeContinue();
-        }
         const isKeyed = incoming.key !== undefined;
         const maxBytes = isKeyed ? maxKeyedBodyBytes : this.parts.settings.maxRequestBodyBytes;
-        readBody(request, { whole: isKeyed, maxBytes }, result => {
+        incoming.request.readBody({ whole: isKeyed, maxBytes }, result => {
             if (result.kind === "body") {
                 use(result.body);
                 return;
@@ -167,49 +122,48 @@
     }
 
     private serve(incoming: Incoming, body: RequestBody): void {
-        const served = new ServedCall(
-            {
-                ...this.createServeOrder(incoming, body),
-                sink: new ResponseSink(incoming.response),
-                finish: (outcome, reason) => this.finish(incoming, outcome, reason),
-            },
-            { ...this.parts, upstream: this.upstream },
-        );
-        onEarlyClose(incoming.response, () => served.cancel());
+        const { request } = incoming;
+        const finish = (outcome: Outcome, reason: string): void => this.finish(incoming, outcome, reason);
+        const served = this.createServedCall({ ...createServeOrder(incoming, body), sink: request.sink, finish });
+        request.onEarlyClose(() => served.cancel());
         served.start();
     }
 
     private serveAtHome(incoming: Incoming, body: Buffer | undefined): void {
-        const { call, request, response } = incoming;
+        const { call, request } = incoming;
+        const { keyRecords, wheel, clock } = this.parts;
         const keyed = {
             caller: call.caller,
             key: incoming.key!,
-            fingerprint: computeFingerprint(request.method!, request.url!, body),
+            fingerprint: computeFingerprint(request.method, request.url, body),
         };
         serveKeyed({
-            records: this.parts.keyRecords,
+            records: keyRecords,
             request: keyed,
             run: () => {
-                const sink = new TeeSink(new ResponseSink(response));
+                const sink = new TeeSink(request.sink);
                 const finish = (outcome: Outcome, reason: string): void => {
                     this.finish(incoming, outcome, reason);
-                    this.parts.keyRecords.settle(keyed, { outcome, answer: sink.answer });
+                    keyRecords.settle(keyed, { outcome, answer: sink.answer });
                 };
-                const order = { ...this.createServeOrder(incoming, body), sink, finish };
-                new ServedCall(order, { ...this.parts, upstream: this.upstream }).start();
+                this.createServedCall({ ...createServeOrder(incoming, body), sink, finish }).start();
             },
             wait: {
-                sink: new ResponseSink(response),
+                sink: request.sink,
                 action: call.action,
-                remainingMs: call.deadlineAtMs - this.parts.clock.readMonotonicMs(),
-                wheel: this.parts.wheel,
+                remainingMs: call.deadlineAtMs - clock.readMonotonicMs(),
+                wheel,
                 finish: (end, reason) => this.finish(incoming, end.outcome, reason),
             },
         });
     }
 
-    private forwardToHome(incoming: Incoming, body: Buffer | undefined, home: string): void {
-        const { call, request, response, match } = incoming;
+    private createServedCall(order: ServeOrder): ServedCall {
+        return new ServedCall(order, this.parts);
+    }
+
+    private forwardToHome(incoming: Incoming, body: RequestBody, home: string): void {
+        const { call, request, match } = incoming;
         this.parts.ledger.open(call);
         const cancel = this.parts.forwarder.forward({
             payer: call,
@@ -217,51 +171,31 @@
             service: match.service,
             deadlineAtMs: call.deadlineAtMs,
             importance: call.importance,
-            method: request.method!,
-            path: request.url!,
+            method: request.method,
+            path: request.url,
             rawHeaders: stripHeaders(request.rawHeaders, requestHeadersSetAnew),
             body,
             repeatable: true,
             home,
-            sink: new ResponseSink(response),
+            sink: request.sink,
             finish: outcome => {
                 this.parts.ledger.close(call.id);
                 this.finish(incoming, outcome, "answered");
             },
         });
-        onEarlyClose(response, cancel);
-    }
-
-    private createServeOrder(incoming: Incoming, body: ServeOrder["body"]): Omit<ServeOrder, "sink" | "finish"> {
-        const { call, match, request, origin } = incoming;
-        const rawHeaders = stripHeaders(request.rawHeaders, requestHeadersSetAnew);
-        const isStream = body !== undefined && !Buffer.isBuffer(body);
-        if (isStream && request.headers["content-length"] !== undefined) {
-            rawHeaders.push("content-length", request.headers["content-length"]);
-        }
-        return {
-            call,
-            match,
-            method: request.method!,
-            path: request.url!,
-            rawHeaders,
-            body,
-            forPeer: origin === "peer",
-        };
+        request.onEarlyClose(cancel);
     }
 
     private refuse(incoming: Incoming, problem: Problem): void {
         this.finish(incoming, problem.outcome, problem.reason);
-        const { request, response, call } = incoming;
-        const isUnread = !request.complete
-            && Number(request.headers["content-length"] ?? Infinity) > maxReplayBodyBytes;
-        const headers = [
+        const { request, call } = incoming;
+        const isDraining = this.parts.isDraining();
+        sendProblem(request.sink, problem, [
             actionHeader,
             call.action,
-            ...(this.parts.isDraining() ? [leavingHeader, "1"] : []),
-            ...(isUnread || this.parts.isDraining() ? ["Connection", "close"] : []),
-        ];
-        sendProblemResponse(response, problem, headers);
+            ...(isDraining ? [leavingHeader, "1"] : []),
+            ...(request.hasUnreadBody() || isDraining ? ["Connection", "close"] : []),
+        ]);
     }
 
     private finish(incoming: Incoming, outcome: Outcome, reason: string): void {
@@ -276,13 +210,12 @@
     }
 }
 
-const maxKeyedBodyBytes = 1024 * 1024;
-
-/** Calls back when a response is closed before it has been finished. */
-const onEarlyClose = (response: ServerResponse, handle: () => void): void => {
-    response.once("close", () => {
-        if (!response.writableFinished) {
-            handle();
-        }
-    });
+const createServeOrder = (incoming: Incoming, body: RequestBody): Omit<ServeOrder, "sink" | "finish"> => {
+    const { call, match, request, origin } = incoming;
+    const rawHeaders = stripHeaders(request.rawHeaders, requestHeadersSetAnew);
+    const length = findRequestHeader(request, "content-length");
+    if (length !== undefined && body !== undefined && !Buffer.isBuffer(body)) {
+        rawHeaders.push("content-length", length);
+    }
+    return { call, match, method: request.method, path: request.url, rawHeaders, body, forPeer: origin === "peer" };
 };
--- a/src/tasks/ingress/matchRequest.ts
+++ b/src/tasks/ingress/matchRequest.ts
@@ -1,8 +1,8 @@
 /** Matches a request with the policy in force, before anything is done for it. */
-import { type IncomingMessage, type ServerResponse } from "node:http";
 import { refusalRetryAfterSeconds } from "../../constants";
 import { identifyCaller } from "../../decisions/identifyCaller";
 import { type Settings } from "../../settings/types";
+import { type CallRequest, findRequestHeader } from "../_lib/callRequest";
 import { type Clock } from "../_lib/clock";
 import { createEntryCall, createPeerCall } from "../_lib/createCall";
 import { type Problem } from "../_lib/problem";
@@ -12,15 +12,10 @@
 /** Who sent a request to this node. */
 export type Origin = "caller" | "peer";
 
-/** A request as it comes from a listener. */
-export interface Exchange {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly origin: Origin;
-}
-
 /** A request on its way through the ingress. */
-export interface Incoming extends Exchange {
+export interface Incoming {
+    readonly request: CallRequest;
+    readonly origin: Origin;
     readonly call: Call;
     readonly match: RouteMatch;
     /** Idempotency key of a request whose route is not idempotent. */
@@ -42,18 +37,18 @@
 
 const refuse = (problem: Problem): MatchResult => ({ kind: "refused", problem });
 
-const readKey = (request: IncomingMessage, match: RouteMatch): string | undefined =>
-    match.route.idempotent ? undefined : request.headers["idempotency-key"] as string | undefined;
+const readKey = (request: CallRequest, match: RouteMatch): string | undefined =>
+    match.route.idempotent ? undefined : findRequestHeader(request, "idempotency-key");
 
-const describeNoPolicy = (request: IncomingMessage): Problem => ({
+const describeNoPolicy = (request: CallRequest): Problem => ({
     status: 503,
     reason: "no-policy",
-    outcome: request.headers["idempotency-key"] === undefined ? "not-run" : "may-have-run",
+    outcome: findRequestHeader(request, "idempotency-key") === undefined ? "not-run" : "may-have-run",
     detail: "this node has not read a policy yet",
     retryAfterSeconds: refusalRetryAfterSeconds,
 });
 
-const describeUnknownRoute = (request: IncomingMessage, service: string): Problem => ({
+const describeUnknownRoute = (request: CallRequest, service: string): Problem => ({
     status: 404,
     reason: "unknown-route",
     outcome: "not-run",
@@ -68,14 +63,18 @@
 };
 
 /** Matches a request with its route and identifies its caller; `sequence` makes the call's identity. */
-export const matchRequest = (exchange: Exchange, sequence: number, parts: MatchParts): MatchResult => {
-    const { request, origin } = exchange;
+export const matchRequest = (
+    request: CallRequest,
+    origin: Origin,
+    sequence: number,
+    parts: MatchParts,
+): MatchResult => {
     const { settings, clock, policy } = parts;
     const startedAtMs = clock.readMonotonicMs();
     if (!policy.inForce) {
         return refuse(describeNoPolicy(request));
     }
-    const match = policy.findRoute(settings.service, request.method!, request.url!);
+    const match = policy.findRoute(settings.service, request.method, request.url);
     if (!match) {
         return refuse(describeUnknownRoute(request, settings.service));
     }
@@ -84,12 +83,12 @@
     const key = readKey(request, match);
     if (origin === "peer") {
         const call = createPeerCall(request, retryLimit, options);
-        return { kind: "matched", incoming: { ...exchange, call, match, key, startedAtMs } };
+        return { kind: "matched", incoming: { request, origin, call, match, key, startedAtMs } };
     }
-    const caller = identifyCaller(request.headers.authorization, settings.callers);
+    const caller = identifyCaller(findRequestHeader(request, "authorization"), settings.callers);
     if (caller === undefined) {
         return refuse(unknownCaller);
     }
     const call = createEntryCall(request, caller, retryLimit, options);
-    return { kind: "matched", incoming: { ...exchange, call, match, key, startedAtMs } };
+    return { kind: "matched", incoming: { request, origin, call, match, key, startedAtMs } };
 };
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -1,10 +1,16 @@
 /** One request that the local upstream serves: its slot, its attempt, its answer. */
-import { type Dispatcher } from "undici";
-import { minForwardMs, refusalRetryAfterSeconds } from "../../constants";
+import { drainRetryAfterSeconds, minForwardMs, refusalRetryAfterSeconds } from "../../constants";
 import { deriveOutcome } from "../../decisions/deriveOutcome";
 import { type Importance, type Outcome } from "../../types";
 import { type AnswerHead, type AnswerSink } from "../_lib/answerSink";
-import { Attempt, type AttemptOwner, type AttemptResult, type BreakCause, sendAttempt } from "../_lib/attempt";
+import {
+    Attempt,
+    type AttemptOwner,
+    type AttemptResult,
+    type BreakCause,
+    type Dispatch,
+    sendAttempt,
+} from "../_lib/attempt";
 import { type Clock } from "../_lib/clock";
 import {
     actionHeader,
@@ -31,7 +37,7 @@
     readonly wheel: TimerWheel;
     readonly admission: Admission;
     readonly ledger: Ledger;
-    readonly upstream: Dispatcher;
+    readonly upstream: Dispatch;
     readonly isDraining: () => boolean;
 }
 
@@ -63,6 +69,24 @@
     "may-have-run": "refused",
 };
 
+/** Answer to new work at an instance that is shutting down. */
+export const leavingProblem: Problem = {
+    status: 503,
+    reason: "leaving",
+    outcome: "not-run",
+    detail: "this instance takes no new requests",
+    retryAfterSeconds: drainRetryAfterSeconds,
+};
+
+/** Answer to a request for which there is neither a slot nor a place in the queue. */
+export const overloadedProblem: Problem = {
+    status: 503,
+    reason: "overloaded",
+    outcome: "not-run",
+    detail: "all slots and places in the queue are taken",
+    retryAfterSeconds: refusalRetryAfterSeconds,
+};
+
 /** Owns the state of one served request. */
 export class ServedCall implements SlotApplicant, AttemptOwner {
     readonly importance: Importance;
@@ -82,6 +106,10 @@
             this.refuseLate();
             return;
         }
+        if (this.parts.isDraining()) {
+            this.refuseWith(leavingProblem);
+            return;
+        }
         this.deadline = this.parts.wheel.add(remainingMs, () => this.expire());
         this.withdraw = this.parts.admission.apply(this);
     }
--- /dev/null
+++ b/src/tasks/nodeCore.ts
@@ -0,0 +1,131 @@
+/** The tasks of a node that own no sockets, wired to each other. */
+import { createRandom } from "../_lib/createRandom";
+import { type Settings } from "../settings/types";
+import { type Dispatch } from "./_lib/attempt";
+import { type Clock } from "./_lib/clock";
+import { TimerWheel } from "./_lib/timerWheel";
+import { Admission } from "./admission";
+import { type AuditEntry, AuditTrail } from "./audit";
+import { type NodeStatus } from "./control/router";
+import { Directory } from "./directory";
+import { Egress } from "./egress";
+import { Forwarder, type PeerPools } from "./forwarder";
+import { Ingress } from "./ingress";
+import { KeyRecords } from "./keyRecords";
+import { Ledger } from "./ledger";
+import { Lifecycle } from "./lifecycle";
+import { MessageBus } from "./messages";
+import { NodeMetrics } from "./metrics";
+import { PolicyTask } from "./policy";
+
+/** Where the core reaches its surroundings. */
+export interface CoreConnections {
+    readonly upstream: Dispatch;
+    readonly peers: PeerPools;
+    readonly clock: Clock;
+    readonly seed: number;
+    readonly writeAudit: (entry: AuditEntry) => void;
+}
+
+/** Owns the tasks that make the decisions of a node. */
+export class NodeCore {
+    readonly bus = new MessageBus();
+    readonly wheel: TimerWheel;
+    readonly lifecycle = new Lifecycle(this.bus);
+    readonly policy: PolicyTask;
+    readonly directory: Directory;
+    readonly ledger = new Ledger();
+    readonly keyRecords: KeyRecords;
+    readonly admission: Admission;
+    readonly metrics: NodeMetrics;
+    readonly audit: AuditTrail;
+    readonly forwarder: Forwarder;
+    readonly ingress: Ingress;
+    readonly egress: Egress;
+    readonly sampleRandom: () => number;
+    private readonly startedAtMs: number;
+    private platformReached = false;
+
+    constructor(private readonly settings: Settings, private readonly connections: CoreConnections) {
+        const { clock, upstream, peers } = connections;
+        const { failureDomain, endpoint } = settings;
+        this.startedAtMs = clock.readMonotonicMs();
+        this.sampleRandom = createRandom(connections.seed);
+        this.wheel = new TimerWheel(clock);
+        this.policy = new PolicyTask(this.bus, clock.readWallMs);
+        this.directory = new Directory(clock);
+        this.keyRecords = new KeyRecords(clock);
+        this.admission = new Admission(this.wheel, clock.readMonotonicMs);
+        this.audit = new AuditTrail(this.bus, endpoint, clock.readWallMs, connections.writeAudit);
+        this.metrics = new NodeMetrics(() => ({
+            ...this.admission.readFigures(),
+            keyRecords: this.keyRecords.size,
+            policyVersion: this.policy.inForce?.version ?? 0,
+        }));
+        const { wheel, directory, ledger, metrics, policy, admission, keyRecords, sampleRandom } = this;
+        this.forwarder = new Forwarder({
+            clock,
+            wheel,
+            directory,
+            ledger,
+            metrics,
+            failureDomain,
+            sampleRandom,
+            peers,
+        });
+        const { forwarder } = this;
+        const isDraining = (): boolean => this.lifecycle.isDraining();
+        const shared = { settings, clock, wheel, policy, ledger, forwarder };
+        this.ingress = new Ingress({ ...shared, admission, keyRecords, metrics, upstream, isDraining });
+        this.egress = new Egress(shared);
+        this.subscribe();
+    }
+
+    /** Reads what the node tells operators of itself. */
+    readStatus(): NodeStatus {
+        const { endpoint, service, failureDomain, region } = this.settings;
+        const { inForce } = this.policy;
+        const { clock } = this.connections;
+        const usage = process.cpuUsage();
+        return {
+            endpoint,
+            service,
+            failureDomain,
+            region,
+            phase: this.lifecycle.phase,
+            policyVersion: inForce?.version ?? 0,
+            policyDigest: inForce?.digest ?? "",
+            policySource: this.policy.source,
+            policyAgeMs: inForce ? clock.readWallMs() - this.policy.adoptedAt : 0,
+            platformReached: this.platformReached,
+            instancesKnown: this.directory.listInstances().length,
+            ...this.admission.readFigures(),
+            keyRecords: this.keyRecords.size,
+            refusals: this.metrics.listRefusals(),
+            residentBytes: process.memoryUsage.rss(),
+            processorSeconds: (usage.user + usage.system) / 1e6,
+            uptimeSeconds: (clock.readMonotonicMs() - this.startedAtMs) / 1_000,
+            binaryVersion: process.env["POMELOVALVE_VERSION"] ?? "development",
+        };
+    }
+
+    private subscribe(): void {
+        this.bus.subscribe("policyAdopted", message => {
+            const servicePolicy = message.version.policy.services[this.settings.service];
+            if (servicePolicy) {
+                this.admission.updatePolicy(servicePolicy);
+            }
+        });
+        this.bus.subscribe("instancesRead", message => {
+            this.directory.updateInstances(message.instances);
+            this.connections.peers.closeUnused(message.instances.map(instance => instance.peer));
+            const own = this.directory.findInstance(this.settings.endpoint);
+            if (own?.state === "leaving") {
+                this.lifecycle.handle("listedLeaving");
+            }
+        });
+        this.bus.subscribe("platformReached", message => {
+            this.platformReached = message.reached;
+        });
+    }
+}
--- a/src/testing/startTestGraph.ts
+++ b/src/testing/startTestGraph.ts
@@ -1,6 +1,5 @@
 /** A small call graph in one process, for tests of what crosses sockets. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import pino from "pino";
 import { createPolicyLog } from "../policy/createPolicyLog";
 import { type Policy } from "../policy/types";
@@ -9,6 +8,7 @@
 import { type Clock, systemClock } from "../tasks/_lib/clock";
 import { PomelovalveNode } from "../tasks/node";
 import { type Address, type Instance } from "../types";
+import { findFreePort } from "./findFreePort";
 
 /** Handles a request as an upstream. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -37,28 +37,20 @@
 const readyTimeoutMs = 5_000;
 const note = { author: "test", time: "2026-01-01T00:00:00.000Z", reason: "test" };
 
-/** Finds a free port on loopback. */
-export const findFreePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createTcpServer().listen(0, host, () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 const ageMs = 60_000;
 
-/** Creates a clock that shows the node's start as a minute ago, so that it accepts keys minted now. */
-const createAgedClock = (): Clock => {
-    let reads = 0;
-    return {
-        readMonotonicMs: systemClock.readMonotonicMs,
-        readWallMs: () => {
-            reads += 1;
-            return reads === 1 ? Date.now() - ageMs : Date.now();
-        },
-    };
-};
+/** A clock that shows a minute ago until it is told to show the present. */
+class AgedClock implements Clock {
+    readonly readMonotonicMs = systemClock.readMonotonicMs;
+    readonly startInterval = systemClock.startInterval;
+    private ageMs = ageMs;
+
+    readonly readWallMs = (): number => Date.now() - this.ageMs;
+
+    updateToPresent(): void {
+        this.ageMs = 0;
+    }
+}
 
 const findAddress = async (): Promise<Address> => ({ host, port: await findFreePort() });
 
@@ -123,7 +115,9 @@
         const upstream = createServer(this.options.upstreams[service]!(endpoint));
         await openServer(upstream, upstreamAddress.port);
         const settings = await this.createSettings(service, endpoint, failureDomain, upstreamAddress);
-        const node = new PomelovalveNode(settings, pino({ level: "silent" }), createAgedClock());
+        const clock = new AgedClock();
+        const node = new PomelovalveNode(settings, pino({ level: "silent" }), clock);
+        clock.updateToPresent();
         await node.start();
         const testNode: TestNode = {
             node,
