--- a/src/commands/createProgram.ts
+++ b/src/commands/createProgram.ts
@@ -5,11 +5,20 @@
 import { createDone, createUsageError } from "./_lib/results";
 import { runAudit } from "./runAudit";
 import { runNode } from "./runNode";
-import { checkPolicyFile, createPolicyFile, listPolicyFile, patchPolicyFile, renderPolicyFile } from "./runPolicy";
+import {
+    checkPolicyFile,
+    compactPolicyFile,
+    createPolicyFile,
+    listPolicyFile,
+    patchPolicyFile,
+    renderPolicyFile,
+} from "./runPolicy";
 import { checkSettingsFile, renderSchema } from "./runSettings";
 import { runStatus } from "./runStatus";
 import { type CommandResult } from "./types";
 
+const defaultKeptEntries = 200;
+
 interface NoteOptions {
     readonly author?: string;
     readonly reason?: string;
@@ -62,10 +71,11 @@
 
 const addPolicyCommands = (program: CAC, report: Report): void => {
     program
-        .command("policy <action> <file>", "Create, patch, check, show or list the versions of a policy log")
+        .command("policy <action> <file>", "Create, patch, compact, check, show or list (log) a policy log")
         .option("--log <file>", "create: the log file to write")
         .option("--against <version>", "patch: the version that the patch was made against")
         .option("--patch <file>", "patch: a JSON Patch (RFC 6902)")
+        .option("--keep <count>", "compact: how many patches stay, by default 200")
         .option("--version <version>", "show: the version, by default the latest one")
         .option("--author <name>", "create, patch: who makes the change")
         .option("--reason <text>", "create, patch: why")
@@ -99,6 +109,8 @@
             return note
                 ? patchPolicyFile(file, String(options["patch"]), Number(options["against"]), note)
                 : createMissingNote();
+        case "compact":
+            return compactPolicyFile(file, Number(options["keep"] ?? defaultKeptEntries));
         case "check":
             return checkPolicyFile(file, isJson);
         case "show":
@@ -106,7 +118,7 @@
         case "log":
             return listPolicyFile(file, isJson);
         default:
-            return createUsageError(`unknown action "${action}"; known are create, patch, check, show, log`);
+            return createUsageError(`unknown action "${action}"; known are create, patch, compact, check, show, log`);
     }
 };
 
--- a/src/commands/runPolicy/index.ts
+++ b/src/commands/runPolicy/index.ts
@@ -1,6 +1,7 @@
 /** Commands on policy files. None of them writes to the platform. */
 import { existsSync } from "node:fs";
 import { parseJson } from "../../_lib/parseJson";
+import { compactPolicyLog } from "../../policy/compactPolicyLog";
 import { createPolicyLog } from "../../policy/createPolicyLog";
 import { deriveChain } from "../../policy/deriveChain";
 import { parsePolicyLog } from "../../policy/parsePolicyLog";
@@ -59,6 +60,18 @@
     return createDone(`${logFile}: version ${latest.version} ${latest.digest.slice(0, shownDigestDigits)}\n`);
 };
 
+/** Compacts a policy log to a snapshot and its newest patches. */
+export const compactPolicyFile = (logFile: string, keptEntries: number): CommandResult => {
+    const log = loadLog(logFile);
+    if (!log.ok) {
+        return createRefusal(logFile, log.faults);
+    }
+    const compacted = compactPolicyLog(log.value, keptEntries);
+    writeTextFile(logFile, formatJson(compacted));
+    const { snapshot, entries } = compacted;
+    return createDone(`${logFile}: snapshot of version ${snapshot.version} and ${entries.length} patches\n`);
+};
+
 /** Checks a policy log: its shape, its versions and the entries that do not count. */
 export const checkPolicyFile = (logFile: string, json: boolean): CommandResult => {
     const log = loadLog(logFile);
--- a/src/policy/createPolicyLog/index.ts
+++ b/src/policy/createPolicyLog/index.ts
@@ -12,6 +12,9 @@
     const policy = checked.value;
     return {
         ok: true,
-        value: { snapshot: { version: 1, digest: computeDigest("", policy), ...note, policy }, entries: [] },
+        value: {
+            snapshot: { version: 1, baseDigest: "", digest: computeDigest("", policy), ...note, policy },
+            entries: [],
+        },
     };
 };
--- a/src/policy/deriveChain/index.ts
+++ b/src/policy/deriveChain/index.ts
@@ -27,8 +27,8 @@
     if (entry.digest !== digest) {
         return { accepted: false, reason: `digest of version ${entry.version} differs from the patched policy` };
     }
-    const { version, author, time, reason } = entry;
-    return { accepted: true, version: { version, digest, author, time, reason, policy: patched.value } };
+    const { version, baseDigest, author, time, reason } = entry;
+    return { accepted: true, version: { version, baseDigest, digest, author, time, reason, policy: patched.value } };
 };
 
 /** Derives the accepted versions from a log; every node that reads the same log derives the same chain. */
--- a/src/policy/parsePolicyLog/index.ts
+++ b/src/policy/parsePolicyLog/index.ts
@@ -3,6 +3,7 @@
 import { maxPolicyLogBytes } from "../../constants";
 import { type Checked } from "../../types";
 import { checkPolicy } from "../checkPolicy";
+import { computeDigest } from "../computeDigest";
 import { policyLogSchema } from "../schema";
 import { type PolicyLog } from "../types";
 
@@ -20,5 +21,14 @@
         return shaped;
     }
     const checked = checkPolicy(shaped.value.snapshot.policy);
-    return checked.ok ? shaped : checked;
+    if (!checked.ok) {
+        return checked;
+    }
+    const { baseDigest, digest } = shaped.value.snapshot;
+    return computeDigest(baseDigest, checked.value) === digest
+        ? shaped
+        : {
+            ok: false,
+            faults: [{ path: "$.snapshot.digest", message: "differs from the digest of the snapshot's policy" }],
+        };
 };
--- a/src/policy/schema/index.ts
+++ b/src/policy/schema/index.ts
@@ -81,6 +81,7 @@
 export const policyLogSchema = z.strictObject({
     snapshot: z.strictObject({
         version,
+        baseDigest: z.union([digest, z.literal("")]).describe("Digest of the version before, empty for the first one."),
         digest,
         author: z.string().min(1).max(200),
         time: z.iso.datetime(),
--- a/src/policy/types.ts
+++ b/src/policy/types.ts
@@ -24,6 +24,8 @@
 /** One accepted version of the policy. */
 export interface PolicyVersion {
     readonly version: number;
+    /** Digest of the version before, empty for the first one. */
+    readonly baseDigest: string;
     readonly digest: string;
     readonly author: string;
     readonly time: string;
--- a/src/tasks/_lib/createCall.ts
+++ b/src/tasks/_lib/createCall.ts
@@ -1,4 +1,4 @@
-import { v7, validate, version } from "uuid";
+import { validate, version } from "uuid";
 import { actionFreshnessMs } from "../../constants";
 import { mergeImportance, parseImportance } from "../../decisions/mergeImportance";
 import { parseDeadline } from "../../decisions/parseDeadline";
@@ -25,6 +25,8 @@
     readonly id: string;
     readonly match: RouteMatch;
     readonly clock: Clock;
+    /** Mints a UUID of version 7. */
+    readonly createId: () => string;
 }
 
 /**
@@ -37,9 +39,9 @@
     retryLimit: number,
     options: CallOptions,
 ): Call => {
-    const { id, match, clock } = options;
+    const { id, match, clock, createId } = options;
     const stated = findRequestHeader(request, actionHeader);
-    const action = isActionId(stated) ? stated : v7();
+    const action = isActionId(stated) ? stated : createId();
     const isFresh = Math.abs(computeAgeMs(action, clock)) <= actionFreshnessMs;
     return {
         id,
@@ -53,13 +55,13 @@
 
 /** Creates the call of a request from another node, whose statements are trusted within the policy's bounds. */
 export const createPeerCall = (request: CallRequest, retryLimit: number, options: CallOptions): Call => {
-    const { id, match, clock } = options;
+    const { id, match, clock, createId } = options;
     const stated = findRequestHeader(request, actionHeader);
     const retries = Number(findRequestHeader(request, retriesHeader) ?? 0);
     const inherited = parseImportance(findRequestHeader(request, importanceHeader));
     return {
         id,
-        action: isActionId(stated) ? stated : v7(),
+        action: isActionId(stated) ? stated : createId(),
         caller: findRequestHeader(request, callerHeader) ?? "anonymous",
         importance: mergeImportance(inherited, match.route.importance),
         deadlineAtMs: computeDeadline(request, match, clock),
--- /dev/null
+++ b/src/tasks/_lib/test.ts
@@ -0,0 +1,138 @@
+import fc from "fast-check";
+import { parseImportance } from "../../decisions/mergeImportance";
+import { parseDeadline } from "../../decisions/parseDeadline";
+import { createServicePolicy } from "../../testing/createPolicy";
+import { CollectingSink, FakeCallRequest } from "../../testing/fakeExchange";
+import { VirtualClock } from "../../testing/virtualClock";
+import { createEntryCall, createPeerCall } from "./createCall";
+import { findHeader, noHeaders, stripHeaders } from "./headers";
+import { TimerWheel } from "./timerWheel";
+
+const ownNames = [
+    "pomelovalve-action",
+    "pomelovalve-retries",
+    "Pomelovalve-Deadline",
+    "pomelovalve-importance",
+    "pomelovalve-caller",
+    "Connection",
+    "TE",
+    "x-other",
+];
+
+const headerList = fc.array(fc.tuple(fc.constantFrom(...ownNames), fc.string()), { maxLength: 12 }).map(pairs =>
+    pairs.flat()
+);
+
+const createOptions = () => {
+    const servicePolicy = createServicePolicy();
+    const match = { service: "desk", servicePolicy, route: servicePolicy.routes[0]! };
+    return { id: "call-1", match, clock: new VirtualClock(), createId: () => "minted" };
+};
+
+const createRequest = (rawHeaders: readonly string[]) =>
+    new FakeCallRequest("GET", "/items/1", rawHeaders, undefined, new CollectingSink(() => undefined));
+
+describe("headers that outsiders reach", () => {
+    it("make a call within the policy's bounds, whatever they hold", () => {
+        fc.assert(
+            fc.property(headerList, rawHeaders => {
+                const options = createOptions();
+                const calls = [
+                    createEntryCall(createRequest(rawHeaders), "caller", 3, options),
+                    createPeerCall(createRequest(rawHeaders), 3, options),
+                ];
+                calls.forEach(call => {
+                    expect(call.retries).toBeGreaterThanOrEqual(0);
+                    expect(call.retries).toBeLessThanOrEqual(3);
+                    expect(call.deadlineAtMs).toBeLessThanOrEqual(options.match.route.deadlineMs);
+                    expect(["critical", "normal", "low"]).toContain(call.importance);
+                });
+            }),
+            { seed: 5, numRuns: 1_000 },
+        );
+    });
+
+    it("give an entry call its retries only for an action minted just now", () => {
+        const options = createOptions();
+        const minted = (ageMs: number): string => {
+            const hex = (options.clock.readWallMs() - ageMs).toString(16).padStart(12, "0");
+            return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000000`;
+        };
+        const countRetries = (ageMs: number): number =>
+            createEntryCall(createRequest(["pomelovalve-action", minted(ageMs)]), "caller", 3, options).retries;
+        expect([0, 200, 1_000, -1_000].map(countRetries)).toEqual([3, 3, 0, 0]);
+    });
+
+    it("never pass the system's own headers on", () => {
+        fc.assert(
+            fc.property(headerList, rawHeaders => {
+                const kept = stripHeaders(rawHeaders, noHeaders);
+                const names = kept.filter((part, index) => index % 2 === 0).map(name => name.toLowerCase());
+                expect(names.filter(name => name.startsWith("pomelovalve-") || name === "te")).toEqual([]);
+            }),
+            { seed: 6, numRuns: 500 },
+        );
+    });
+
+    it("find a header by its name in any case", () => {
+        expect(findHeader(["X-One", "1", "RETRY-AFTER", "2"], "retry-after")).toBe("2");
+    });
+
+    it("parse deadlines and importance strictly", () => {
+        expect(["50", "", "-1", "1e3", "600001", undefined].map(parseDeadline)).toEqual([
+            50,
+            undefined,
+            undefined,
+            undefined,
+            undefined,
+            undefined,
+        ]);
+        expect(["critical", "toString", "", undefined].map(parseImportance)).toEqual([
+            "critical",
+            undefined,
+            undefined,
+            undefined,
+        ]);
+    });
+});
+
+const computeTick = (delayMs: number): number => Math.max(1, Math.ceil(delayMs / 10));
+
+describe("TimerWheel", () => {
+    it("expires timeouts in their order, none early, and none that was removed", () => {
+        fc.assert(
+            fc.property(fc.array(fc.integer({ min: 0, max: 5_000 }), { maxLength: 50 }), delays => {
+                const clock = new VirtualClock();
+                const wheel = new TimerWheel(clock);
+                const expired: number[] = [];
+                delays.forEach(delayMs =>
+                    wheel.add(delayMs, () => {
+                        expect(clock.readMonotonicMs()).toBeGreaterThanOrEqual(delayMs);
+                        expired.push(computeTick(delayMs));
+                    })
+                );
+                wheel.remove(wheel.add(100, () => expired.push(-1)));
+                clock.runUntil(6_000);
+                expect(expired).toEqual(delays.map(computeTick).sort((a, b) => a - b));
+            }),
+            { seed: 7, numRuns: 200 },
+        );
+    });
+
+    it("expires what fell due during a pause of the process", () => {
+        const clock = new VirtualClock();
+        let paused = true;
+        const wheel = new TimerWheel({
+            ...clock,
+            startInterval: () => () => undefined,
+            readMonotonicMs: () => paused ? 0 : 60_000,
+        });
+        let expired = 0;
+        wheel.add(50, () => {
+            expired += 1;
+        });
+        paused = false;
+        wheel.expire();
+        expect(expired).toBe(1);
+    });
+});
--- a/src/tasks/_lib/timerWheel.ts
+++ b/src/tasks/_lib/timerWheel.ts
@@ -18,8 +18,9 @@
 
     /** Adds a timeout after a number of milliseconds. */
     add(delayMs: number, expire: () => void): Timeout {
-        const dueMs = this.clock.readMonotonicMs() + delayMs;
-        const tick = Math.ceil(dueMs / sweepIntervalMs);
+        const nowMs = this.clock.readMonotonicMs();
+        const dueMs = nowMs + delayMs;
+        const tick = Math.max(Math.ceil(dueMs / sweepIntervalMs), Math.floor(nowMs / sweepIntervalMs) + 1);
         const bucket = this.buckets.get(tick) ?? new Set<Timeout>();
         this.buckets.set(tick, bucket);
         const timeout: Timeout = { dueMs, expire, bucket };
--- a/src/tasks/egress/index.ts
+++ b/src/tasks/egress/index.ts
@@ -1,5 +1,4 @@
 /** Serves the calls that the local upstream makes to other services. */
-import { v7 } from "uuid";
 import { defaultDeadlineMs, refusalRetryAfterSeconds } from "../../constants";
 import { computeHome } from "../../decisions/computeHome";
 import { mergeImportance } from "../../decisions/mergeImportance";
@@ -22,6 +21,8 @@
     readonly policy: PolicyTask;
     readonly ledger: Ledger;
     readonly forwarder: Forwarder;
+    /** Mints a UUID of version 7. */
+    readonly createId: () => string;
 }
 
 /** The service and path that a request of the upstream names. */
@@ -108,7 +109,7 @@
     private forward(matched: MatchedCall): void {
         const { request, match, target, body } = matched;
         const payer = this.findPayer(request);
-        const key = readKey(request, match);
+        const key = readKey(request, match) ?? (match.route.idempotent ? undefined : this.parts.createId());
         const endpoints = match.servicePolicy.endpoints.map(endpoint => endpoint.name);
         const cancel = this.parts.forwarder.forward({
             payer,
@@ -137,7 +138,7 @@
         this.callCount += 1;
         return {
             id: `${this.parts.settings.endpoint}-orphan-${this.callCount}`,
-            action: findRequestHeader(request, actionHeader) ?? v7(),
+            action: findRequestHeader(request, actionHeader) ?? this.parts.createId(),
             caller: this.parts.settings.service,
             importance: "low",
             deadlineAtMs: this.parts.clock.readMonotonicMs() + defaultDeadlineMs,
@@ -152,9 +153,9 @@
     }
 }
 
-/** Returns the key of a non-idempotent call; the node mints one where the upstream sends none. */
+/** Returns the key that the upstream has sent with a non-idempotent call. */
 const readKey = (request: CallRequest, match: RouteMatch): string | undefined =>
-    match.route.idempotent ? undefined : findRequestHeader(request, "idempotency-key") ?? v7();
+    match.route.idempotent ? undefined : findRequestHeader(request, "idempotency-key");
 
 const createForwardHeaders = (matched: MatchedCall, key: string | undefined): readonly string[] => {
     const { request, body } = matched;
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -34,6 +34,8 @@
     /** Connections to the local upstream. */
     readonly upstream: Dispatch;
     readonly isDraining: () => boolean;
+    /** Mints a UUID of version 7. */
+    readonly createId: () => string;
 }
 
 /** Owns the requests that have no final answer yet. */
--- a/src/tasks/ingress/matchRequest.ts
+++ b/src/tasks/ingress/matchRequest.ts
@@ -33,6 +33,7 @@
     readonly settings: Settings;
     readonly clock: Clock;
     readonly policy: PolicyTask;
+    readonly createId: () => string;
 }
 
 const refuse = (problem: Problem): MatchResult => ({ kind: "refused", problem });
@@ -69,7 +70,7 @@
     sequence: number,
     parts: MatchParts,
 ): MatchResult => {
-    const { settings, clock, policy } = parts;
+    const { settings, clock, policy, createId } = parts;
     const startedAtMs = clock.readMonotonicMs();
     if (!policy.inForce) {
         return refuse(describeNoPolicy(request));
@@ -78,7 +79,7 @@
     if (!match) {
         return refuse(describeUnknownRoute(request, settings.service));
     }
-    const options = { id: `${settings.endpoint}-${sequence}`, match, clock };
+    const options = { id: `${settings.endpoint}-${sequence}`, match, clock, createId };
     const { retryLimit } = policy.inForce.policy;
     const key = readKey(request, match);
     if (origin === "peer") {
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -1,6 +1,7 @@
 /** One node as a process: the core with its sockets. */
 import { type Logger } from "pino";
 import { Pool } from "undici";
+import { v7 } from "uuid";
 import { defaultDrainLimitMs, peerConnections, upstreamKeepAliveMs } from "../constants";
 import { type Settings } from "../settings/types";
 import { type Clock, systemClock } from "./_lib/clock";
@@ -33,7 +34,14 @@
         const { upstream, peers } = this;
         const seed = process.pid ^ clock.readWallMs();
         const writeAudit = (entry: AuditEntry): void => this.writeAudit(entry);
-        this.core = new NodeCore(settings, { upstream, peers, clock, seed, writeAudit });
+        this.core = new NodeCore(settings, {
+            upstream,
+            peers,
+            clock,
+            seed,
+            createId: () => v7(),
+            writeAudit,
+        });
         const { bus, ingress, egress, metrics, lifecycle, policy, audit, sampleRandom } = this.core;
         this.platform = new PlatformTask(createPlatform(settings), settings.platform, bus, sampleRandom);
         this.listeners = new Listeners(settings.listen, ingress, egress);
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -24,6 +24,8 @@
     readonly peers: PeerPools;
     readonly clock: Clock;
     readonly seed: number;
+    /** Mints a UUID of version 7. */
+    readonly createId: () => string;
     readonly writeAudit: (entry: AuditEntry) => void;
 }
 
@@ -75,7 +77,8 @@
         });
         const { forwarder } = this;
         const isDraining = (): boolean => this.lifecycle.isDraining();
-        const shared = { settings, clock, wheel, policy, ledger, forwarder };
+        const { createId } = connections;
+        const shared = { settings, clock, wheel, policy, ledger, forwarder, createId };
         this.ingress = new Ingress({ ...shared, admission, keyRecords, metrics, upstream, isDraining });
         this.egress = new Egress(shared);
         this.subscribe();
--- /dev/null
+++ b/src/testing/fakeExchange.ts
@@ -0,0 +1,150 @@
+/** Fakes of an HTTP exchange, between the core of a node and whatever it calls. */
+import { type Dispatcher } from "undici";
+import { type AnswerHead, type AnswerSink } from "../tasks/_lib/answerSink";
+import { type Dispatch } from "../tasks/_lib/attempt";
+import { type CallRequest } from "../tasks/_lib/callRequest";
+import { type BodyOptions, type BodyResult } from "../tasks/_lib/readBody";
+import { type VirtualClock } from "./virtualClock";
+
+/** A request in memory. */
+export class FakeCallRequest implements CallRequest {
+    private closeHandler: (() => void) | undefined;
+
+    constructor(
+        readonly method: string,
+        readonly url: string,
+        readonly rawHeaders: readonly string[],
+        private readonly body: Buffer | undefined,
+        readonly sink: AnswerSink,
+    ) {}
+
+    hasUnreadBody(): boolean {
+        return false;
+    }
+
+    readBody(options: BodyOptions, finish: (result: BodyResult) => void): void {
+        const isTooLarge = this.body !== undefined && this.body.length > options.maxBytes;
+        finish(isTooLarge ? { kind: "too-large" } : { kind: "body", body: this.body });
+    }
+
+    onEarlyClose(handle: () => void): void {
+        this.closeHandler = handle;
+    }
+
+    /** Goes away before the answer is finished. */
+    close(): void {
+        this.closeHandler?.();
+    }
+}
+
+/** How a link between two parts behaves at the moment. */
+export interface LinkState {
+    readonly latencyMs: number;
+    /** Whether nothing passes; requests and answers on it are lost, as in a network partition. */
+    readonly cut: boolean;
+    /** Whether connections are refused, as when no process listens. */
+    readonly refused: boolean;
+}
+
+/** Carries requests to a target over a link that can fail. */
+export class FakeDispatch implements Dispatch {
+    constructor(
+        private readonly clock: VirtualClock,
+        private readonly readLink: () => LinkState,
+        private readonly handle: (request: FakeCallRequest) => void,
+    ) {}
+
+    dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandlers): boolean {
+        const { latencyMs, refused, cut } = this.readLink();
+        if (refused) {
+            this.clock.schedule(latencyMs, () => handler.onError?.(new Error("connection refused")));
+            return true;
+        }
+        if (cut) {
+            return true;
+        }
+        this.send(options, handler);
+        return true;
+    }
+
+    private send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandlers): void {
+        let aborted = false;
+        const deliver = (run: () => void): void => {
+            this.clock.schedule(this.readLink().latencyMs, () => {
+                if (!aborted && !this.readLink().cut) {
+                    run();
+                }
+            });
+        };
+        const sink = createHandlerSink(handler, deliver);
+        const body = options.body as Buffer | undefined;
+        const request = new FakeCallRequest(
+            options.method,
+            options.path,
+            options.headers as string[],
+            body ?? undefined,
+            sink,
+        );
+        handler.onConnect?.(() => {
+            aborted = true;
+            this.clock.schedule(this.readLink().latencyMs, () => {
+                if (!this.readLink().cut) {
+                    request.close();
+                }
+            });
+        });
+        deliver(() => this.handle(request));
+    }
+}
+
+const createHandlerSink = (handler: Dispatcher.DispatchHandlers, deliver: (run: () => void) => void): AnswerSink => ({
+    start: head =>
+        deliver(() => {
+            handler.onHeaders?.(head.status, head.rawHeaders.map(part => Buffer.from(part)), () => undefined, "");
+        }),
+    write: chunk => {
+        deliver(() => {
+            handler.onData?.(chunk);
+        });
+        return true;
+    },
+    onDrain: resume => resume(),
+    end: () => deliver(() => handler.onComplete?.([])),
+    abort: () => deliver(() => handler.onError?.(new Error("broken off"))),
+});
+
+/** An answer as a caller has received it. */
+export interface ReceivedAnswer {
+    readonly head: AnswerHead | undefined;
+    readonly body: string;
+    readonly whole: boolean;
+}
+
+/** Takes an answer into memory. */
+export class CollectingSink implements AnswerSink {
+    private head: AnswerHead | undefined;
+    private readonly chunks: Buffer[] = [];
+
+    constructor(private readonly onEnd: (answer: ReceivedAnswer) => void) {}
+
+    start(head: AnswerHead): void {
+        this.head = head;
+    }
+
+    write(chunk: Buffer): boolean {
+        this.chunks.push(chunk);
+        return true;
+    }
+
+    onDrain(resume: () => void): void {
+        resume();
+    }
+
+    end(): void {
+        this.onEnd({ head: this.head, body: Buffer.concat(this.chunks).toString(), whole: true });
+    }
+
+    abort(): void {
+        this.onEnd({ head: this.head, body: Buffer.concat(this.chunks).toString(), whole: false });
+    }
+}
