--- a/bench/_lib/summarize.ts
+++ b/bench/_lib/summarize.ts
@@ -54,7 +54,10 @@
 };
 
 /** Computes when the share of whole requests is back at 95% of before and stays there for two seconds. */
-export const computeRecovery = (records: readonly ActionRecord[], scenario: Scenario): number | undefined => {
+export const computeRecovery = (
+    records: readonly ActionRecord[],
+    scenario: Pick<Scenario, "settledMs" | "triggerStartMs" | "triggerEndMs" | "durationMs">,
+): number | undefined => {
     const { settledMs, triggerStartMs, triggerEndMs, durationMs } = scenario;
     const wanted = countShare(selectPhase(records, settledMs, triggerStartMs)) * recoveredShare;
     const shares = computeBinShares(records, durationMs);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,9 @@
 /** Entry of the experiment tool. */
 import { cac } from "cac";
 import { runDemo } from "./demo";
+import { runLatency } from "./latency";
+import { runVirtual } from "./virtual";
+import { type ControlKind } from "./virtual/types";
 
 const distFolder = __dirname;
 const program = cac("bench");
@@ -14,6 +17,30 @@
         runDemo({ distFolder, outFolder: options.out, seed: options.seed })
     );
 
+program
+    .command("latency", "Measure what the nodes add to a call, beside the direct path")
+    .option("--rate <number>", "Calls per second on each path", { default: 160 })
+    .option("--seconds <number>", "Length of the measurement", { default: 15 })
+    .option("--out <folder>", "Folder for the results", { default: `${distFolder}/latency` })
+    .example("node dist/bench.cjs latency --rate 1600")
+    .action((options: { readonly rate: number; readonly seconds: number; readonly out: string; }) =>
+        runLatency({ distFolder, outFolder: options.out, ratePerSecond: options.rate, seconds: options.seconds })
+    );
+
+program
+    .command("virtual", "Run the experiments on the decisions on a virtual clock")
+    .option("--seed <number>", "Seed of the load", { default: 1 })
+    .option("--only <control>", "Only one kind of control: none, fixed or pomelovalve")
+    .option("--out <folder>", "Folder for the results", { default: `${distFolder}/virtual` })
+    .example("node dist/bench.cjs virtual --seed 2")
+    .action((options: { readonly seed: number; readonly out: string; readonly only?: ControlKind; }) =>
+        runVirtual({
+            outFolder: options.out,
+            seed: options.seed,
+            controls: options.only === undefined ? undefined : [options.only],
+        })
+    );
+
 program.help();
 
 const runProgram = async (): Promise<void> => {
--- /dev/null
+++ b/bench/virtual/index.ts
@@ -0,0 +1,105 @@
+/** Experiments on the decisions: each trigger under each kind of control, on a virtual clock. */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { renderTable } from "../../src/commands/_lib/renderTable";
+import { ertisClasses, ertisRoutes, loadErtisPolicy } from "../scenarios/ertis";
+import { runExperiment } from "./runExperiment";
+import { type ControlKind, type Experiment, type ExperimentResult, type Trigger } from "./types";
+
+const controls: readonly ControlKind[] = ["none", "fixed", "pomelovalve"];
+const ertisActionsPerSecond = 1_500;
+
+const triggers: readonly Trigger[] = [
+    { name: "fuelpost 4 times slower", slow: { fuelpost: 4 }, surge: 1 },
+    { name: "surge of 3", slow: {}, surge: 3 },
+    { name: "fuelpost 4 times slower and surge of 3", slow: { fuelpost: 4 }, surge: 3 },
+];
+
+/** Creates the experiments on the Ertis graph. */
+export const createErtisExperiments = (seed: number): readonly Experiment[] =>
+    triggers.map(trigger => ({
+        graph: "ertis",
+        policy: loadErtisPolicy(),
+        routes: ertisRoutes,
+        classes: ertisClasses.map(item => ({ ...item, ratePerSecond: item.ratePerSecond * ertisActionsPerSecond })),
+        entryService: "berthdesk",
+        bottleneck: "fuelpost",
+        attemptTimeoutMs: 1_500,
+        attempts: 4,
+        seed,
+        trigger,
+        settledMs: 4_000,
+        triggerStartMs: 8_000,
+        triggerEndMs: 16_000,
+        durationMs: 28_000,
+    }));
+
+const formatRate = (value: number): string => value.toFixed(0);
+
+const listRows = (experiment: Experiment, result: ExperimentResult): readonly (readonly (string | number)[])[] =>
+    result.classes.map(figures => [
+        experiment.graph,
+        experiment.trigger.name,
+        result.control,
+        figures.name,
+        formatRate(figures.before),
+        formatRate(figures.offeredDuring),
+        formatRate(figures.during),
+        formatRate(figures.after),
+        figures.p99Ms.toFixed(0),
+    ]);
+
+const listSummaryRow = (experiment: Experiment, result: ExperimentResult): readonly (string | number)[] => [
+    experiment.graph,
+    experiment.trigger.name,
+    result.control,
+    result.recoveryMs === undefined ? "never" : `${(result.recoveryMs / 1_000).toFixed(1)} s`,
+    `${(result.retriesPerCall * 100).toFixed(1)}%`,
+    `${(result.wastedShare * 100).toFixed(1)}%`,
+    result.doubleRuns,
+    result.untrueRefusals,
+    result.unanswered,
+];
+
+const classHead = ["GRAPH", "TRIGGER", "CONTROL", "CLASS", "BEFORE/S", "OFFERED/S", "DURING/S", "AFTER/S", "P99 MS"];
+const summaryHead = [
+    "GRAPH",
+    "TRIGGER",
+    "CONTROL",
+    "RECOVERY",
+    "RETRIES/CALL",
+    "WASTED",
+    "DOUBLE",
+    "UNTRUE",
+    "UNANSWERED",
+];
+
+/** What the experiments are run with. */
+export interface VirtualOptions {
+    readonly outFolder: string;
+    readonly seed: number;
+    /** Only these kinds of control, or all. */
+    readonly controls?: readonly ControlKind[];
+}
+
+/** Runs all experiments; prints their tables and writes them. */
+export const runVirtual = (options: VirtualOptions): void => {
+    const results = createErtisExperiments(options.seed).flatMap(experiment =>
+        (options.controls ?? controls).map(control => {
+            const result = runExperiment(experiment, control);
+            process.stdout.write(`${experiment.graph}, ${experiment.trigger.name}, ${control}: done\n`);
+            return { experiment, result };
+        })
+    );
+    const classTable = renderTable(
+        classHead,
+        results.flatMap(({ experiment, result }) => listRows(experiment, result)),
+    );
+    const summaryTable = renderTable(
+        summaryHead,
+        results.map(({ experiment, result }) => listSummaryRow(experiment, result)),
+    );
+    const text = `seed ${options.seed}\n\n${classTable}\n${summaryTable}`;
+    mkdirSync(options.outFolder, { recursive: true });
+    writeFileSync(`${options.outFolder}/experiments.txt`, text);
+    process.stdout.write(text);
+};
--- /dev/null
+++ b/bench/virtual/types.ts
@@ -0,0 +1,56 @@
+/** Types of experiments on a virtual clock. */
+import { type Policy } from "../../src/policy/types";
+import { type LoadClass } from "../../src/standins/types";
+import { type UpstreamRoutes } from "../scenarios/ertis";
+
+/** How the call graph is controlled. */
+export type ControlKind = "none" | "fixed" | "pomelovalve";
+
+/** What goes wrong, from the trigger's start to its end. */
+export interface Trigger {
+    readonly name: string;
+    /** Factors on the work of a service's upstreams. */
+    readonly slow: Readonly<Record<string, number>>;
+    /** Factor on the callers' rates. */
+    readonly surge: number;
+}
+
+/** One experiment. */
+export interface Experiment {
+    readonly graph: string;
+    readonly policy: Policy;
+    readonly routes: UpstreamRoutes;
+    readonly classes: readonly LoadClass[];
+    readonly entryService: string;
+    readonly bottleneck: string;
+    readonly attemptTimeoutMs: number;
+    readonly attempts: number;
+    readonly seed: number;
+    readonly trigger: Trigger;
+    readonly settledMs: number;
+    readonly triggerStartMs: number;
+    readonly triggerEndMs: number;
+    readonly durationMs: number;
+}
+
+/** Figures of one run of an experiment. */
+export interface ExperimentResult {
+    readonly control: ControlKind;
+    /** Whole requests per second before, during and after the trigger, by class. */
+    readonly classes: readonly {
+        readonly name: string;
+        readonly before: number;
+        readonly during: number;
+        readonly after: number;
+        readonly offeredDuring: number;
+        readonly p99Ms: number;
+    }[];
+    readonly recoveryMs: number | undefined;
+    readonly retriesPerCall: number;
+    /** Runs of actions that came to no whole answer, as a share of all runs. */
+    readonly wastedShare: number;
+    readonly doubleRuns: number;
+    readonly untrueRefusals: number;
+    /** Actions that never got a final answer. */
+    readonly unanswered: number;
+}
--- a/src/standins/callers/index.ts
+++ b/src/standins/callers/index.ts
@@ -64,6 +64,7 @@
             endMs: this.readElapsedMs(),
             ok,
             attempts,
+            action,
             key,
             told,
             status,
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -1,7 +1,8 @@
-/** Entry of the stand-ins: `standins platform PORT | upstream CONFIG | callers CONFIG RESULT`. */
+/** Entry of the stand-ins: `standins platform PORT | relay PORT TARGET | upstream CONFIG | callers CONFIG RESULT`. */
 import { readFileSync, writeFileSync } from "node:fs";
 import { Callers } from "./callers";
 import { PlatformStandIn } from "./platform";
+import { startRelay } from "./relay";
 import { type CallersConfig, type UpstreamConfig } from "./types";
 import { UpstreamStandIn } from "./upstream";
 
@@ -12,6 +13,10 @@
         await new PlatformStandIn().start(Number(first));
         return;
     }
+    if (kind === "relay") {
+        await startRelay(Number(first), Number(second));
+        return;
+    }
     if (kind === "upstream") {
         await new UpstreamStandIn(loadConfig<UpstreamConfig>(first)).start();
         return;
--- a/src/standins/types.ts
+++ b/src/standins/types.ts
@@ -66,6 +66,7 @@
     readonly endMs: number;
     readonly ok: boolean;
     readonly attempts: number;
+    readonly action: string;
     readonly key: string | undefined;
     /** Outcome as told by the last answer, if there was one. */
     readonly told: string | undefined;
--- a/src/standins/upstream/index.ts
+++ b/src/standins/upstream/index.ts
@@ -136,6 +136,9 @@
     }
 
     private awaitWork(job: Job): Promise<void> {
+        if (job.route.workMs === 0) {
+            return Promise.resolve();
+        }
         const sampled = -Math.log(1 - this.sampleRandom());
         const workMs = job.route.workMs * this.workFactor * Math.min(maxWorkFactor, 0.5 + sampled / 2);
         return new Promise((resolve, reject) => {
--- a/src/tasks/metrics/index.ts
+++ b/src/tasks/metrics/index.ts
@@ -50,6 +50,8 @@
         labelNames: ["service"],
         registers: [this.registry],
     });
+    /** Called at each retry, for experiments. */
+    onRetry: (() => void) | undefined;
     private readonly refusals = new Map<string, number>();
 
     constructor(readFigures: () => ScrapedFigures) {
@@ -100,6 +102,7 @@
 
     countRetry(service: string): void {
         this.retries.inc({ service });
+        this.onRetry?.();
     }
 
     /** Lists how often the node gave answers of its own, by reason. */
--- a/src/testing/virtualCallers.ts
+++ b/src/testing/virtualCallers.ts
@@ -4,7 +4,13 @@
 import { findHeader } from "../tasks/_lib/headers";
 import { createIdSource } from "./createIdSource";
 import { CollectingSink, FakeCallRequest, type ReceivedAnswer } from "./fakeExchange";
-import { type VirtualGraph } from "./virtualGraph";
+import { type VirtualClock } from "./virtualClock";
+
+/** What callers send their requests to. */
+export interface CallTarget {
+    readonly clock: VirtualClock;
+    send(endpoint: string, request: FakeCallRequest): void;
+}
 
 /** How the callers behave. */
 export interface VirtualCallersOptions {
@@ -17,6 +23,7 @@
     readonly attempts: number;
     /** Factor on the rates at a time. */
     readonly computeSurge?: (atMs: number) => number;
+    readonly recordStart: () => void;
     readonly record: (record: ActionRecord) => void;
 }
 
@@ -41,7 +48,7 @@
     private readonly createId: () => string;
     private readonly sampleTarget: () => number;
 
-    constructor(private readonly graph: VirtualGraph, private readonly options: VirtualCallersOptions) {
+    constructor(private readonly graph: CallTarget, private readonly options: VirtualCallersOptions) {
         this.createId = createIdSource(graph.clock, options.seed * 17 + 1);
         this.sampleTarget = createRandom(options.seed * 17 + 2);
     }
@@ -67,6 +74,7 @@
     }
 
     private startAction(loadClass: LoadClass): void {
+        this.options.recordStart();
         const key = loadClass.keyed ? this.createId() : undefined;
         const startMs = this.graph.clock.readMonotonicMs();
         this.sendAttempt({ loadClass, startMs, action: this.createId(), key, attempts: 0 });
@@ -100,9 +108,9 @@
             this.sendAttempt(action);
             return;
         }
-        const { loadClass, startMs, attempts, key } = action;
+        const { loadClass, startMs, attempts, key, action: id } = action;
         const endMs = this.graph.clock.readMonotonicMs();
-        this.options.record({ className: loadClass.name, startMs, endMs, attempts, key, ...end });
+        this.options.record({ className: loadClass.name, startMs, endMs, attempts, key, action: id, ...end });
     }
 }
 
--- a/src/testing/virtualGraph.ts
+++ b/src/testing/virtualGraph.ts
@@ -18,6 +18,7 @@
     readonly upstreamRoutes: Readonly<Record<string, readonly UpstreamRoute[]>>;
     readonly seed: number;
     readonly recordRun?: (run: UpstreamRun) => void;
+    readonly recordRetry?: () => void;
     readonly recordAudit?: (entry: AuditEntry) => void;
 }
 
@@ -161,6 +162,7 @@
             createId: createIdSource(clock, options.seed * 3_000 + index),
             writeAudit: options.recordAudit ?? (() => undefined),
         });
+        core.metrics.onRetry = options.recordRetry;
         const added: VirtualEndpoint = { settings, core, upstream };
         this.endpoints.set(name, added);
         this.endpointByPort.set(settings.listen.peers.port, added);
