Let look-ups use every slot that critical requests leave free

Cause: a look-up ran only while all requests under way together were fewer than the unreserved slots, so that critical requests above their reservation pushed look-ups out although slots stood empty. Ruled out: a smaller reservation in the policy (moves the same fault); no reservation (look-ups could hold every slot at the moment when critical requests come). Change: only requests that are not critical count against the unreserved slots.

--- a/src/tasks/admission/index.ts
+++ b/src/tasks/admission/index.ts
@@ -1,6 +1,11 @@
 /** Admission in front of the local upstream: concurrency limit, queue by importance, refusals. */
 import { limitWindowMs } from "../../constants";
-import { type AdmissionDecision, computeRoom, decideAdmission } from "../../decisions/decideAdmission";
+import {
+    type AdmissionDecision,
+    decideAdmission,
+    hasFreeSlot,
+    type SlotOccupation,
+} from "../../decisions/decideAdmission";
 import { createLimit, type LimitState, updateLimit } from "../../decisions/updateLimit";
 import { type ServicePolicy } from "../../policy/types";
 import { type Importance } from "../../types";
@@ -31,6 +36,7 @@
     readonly queued: number;
 }
 
+const fullestRoomyLoad = 0.99;
 const importancesFromHighest: readonly Importance[] = ["critical", "normal", "low"];
 
 /** Owns the slots of the local upstream and the queue in front of them. */
@@ -39,6 +45,7 @@
     private policy: ServicePolicy | undefined;
     private limitState: LimitState = { limit: 1 };
     private inFlight = 0;
+    private lesserInFlight = 0;
     private peakInFlight = 0;
     private completedInWindow = 0;
     private refusedInWindow = 0;
@@ -61,10 +68,10 @@
         }
     }
 
-    /** Share of the room for normal requests that is in use, 0 to 1; waiting requests count as full. */
+    /** Share of the limit that is in use, 0 to 1; 1 means that a request which is not critical would have to wait. */
     computeLoad(): number {
-        const room = computeRoom("normal", this.limitState.limit, this.policy?.reservedShare ?? 0);
-        return this.countQueued() > 0 ? 1 : Math.min(1, this.inFlight / room);
+        const isRoomy = this.countQueued() === 0 && hasFreeSlot("normal", this.readOccupation());
+        return isRoomy ? Math.min(fullestRoomyLoad, this.inFlight / this.limitState.limit) : 1;
     }
 
     readFigures(): AdmissionFigures {
@@ -93,9 +100,10 @@
         return this.addWaiting(applicant);
     }
 
-    /** Gives a slot back. */
-    release(result: SlotResult): void {
+    /** Gives back the slot of a request of an importance. */
+    release(importance: Importance, result: SlotResult): void {
         this.inFlight -= 1;
+        this.lesserInFlight -= importance === "critical" ? 0 : 1;
         this.completedInWindow += result === "completed" ? 1 : 0;
         this.refusedInWindow += result === "refused" ? 1 : 0;
         this.updateWindow();
@@ -106,9 +114,7 @@
         const policy = this.policy!;
         const rank = importancesFromHighest.indexOf(importance);
         return decideAdmission(importance, {
-            inFlight: this.inFlight,
-            limit: this.limitState.limit,
-            reservedShare: policy.reservedShare,
+            ...this.readOccupation(),
             queued: this.countQueued(),
             maxQueued: policy.queue.maxLength,
             hasLesserQueued: importancesFromHighest.slice(rank + 1).some(lesser => this.queues[lesser].length > 0),
@@ -116,12 +122,23 @@
         });
     }
 
+    private readOccupation(): SlotOccupation {
+        const { inFlight, lesserInFlight } = this;
+        return {
+            inFlight,
+            lesserInFlight,
+            limit: this.limitState.limit,
+            reservedShare: this.policy?.reservedShare ?? 0,
+        };
+    }
+
     private countQueued(): number {
         return this.queues.critical.length + this.queues.normal.length + this.queues.low.length;
     }
 
     private startRun(applicant: SlotApplicant): void {
         this.inFlight += 1;
+        this.lesserInFlight += applicant.importance === "critical" ? 0 : 1;
         this.peakInFlight = Math.max(this.peakInFlight, this.inFlight);
         applicant.run();
     }
@@ -171,8 +188,7 @@
         if (!importance) {
             return undefined;
         }
-        const room = computeRoom(importance, this.limitState.limit, this.policy!.reservedShare);
-        return this.inFlight < room ? this.queues[importance].shift() : undefined;
+        return hasFreeSlot(importance, this.readOccupation()) ? this.queues[importance].shift() : undefined;
     }
 
     private updateWindow(): void {
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -130,7 +130,7 @@
 
     run(): void {
         if (this.computeRemainingMs() < minForwardMs) {
-            this.parts.admission.release("cancelled");
+            this.parts.admission.release(this.importance, "cancelled");
             this.refuseLate();
             return;
         }
@@ -161,11 +161,11 @@
     finish(result: AttemptResult): void {
         if (result.kind === "answered") {
             const outcome = this.outcome!;
-            this.parts.admission.release(slotResultByOutcome[outcome]);
+            this.parts.admission.release(this.importance, slotResultByOutcome[outcome]);
             this.settle(outcome, "answered");
             return;
         }
-        this.parts.admission.release(result.cause === "cancelled" ? "cancelled" : "refused");
+        this.parts.admission.release(this.importance, result.cause === "cancelled" ? "cancelled" : "refused");
         const outcome = result.kind === "unsent" ? "not-run" : "may-have-run";
         if (result.kind === "broken" && result.passedOn) {
             this.settle(outcome, "upstream-broke-off");
