Refuse at the entry what would fail for lack of room deep inside

Ruled out: sending queue lengths up the chain (the entry would need the graph); a fixed entry rate (needs tuning at night). Change: refusals below travel up on answers; each route's share of new actions follows what passes, picked by the action id, so that all nodes keep the same actions; it grows again, faster with every calm window. Work under way is never shed. Failures kept by their home, refusals below and shed actions are no longer retried: they can only come again.

--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -12,6 +12,9 @@
 
 export const sweepIntervalMs = 10;
 export const limitWindowMs = 100;
+export const shedWindowMs = 200;
+export const maxCallDepth = 16;
+export const maxShedRetryAfterSeconds = 10;
 export const pauseThresholdMs = 1_000;
 
 export const closeGraceMs = 500;
--- a/src/decisions/decideRetry/index.ts
+++ b/src/decisions/decideRetry/index.ts
@@ -8,6 +8,10 @@
     readonly end: AttemptEnd;
     /** Whether repeating the request does no harm: it is idempotent, or its home removes repetitions by key. */
     readonly repeatable: boolean;
+    /** Whether the request's home keeps its outcome, so that a failure there is final. */
+    readonly recorded: boolean;
+    /** Whether the failure comes from a refusal for lack of room further on, which a repetition would only meet again. */
+    readonly refusedBelow: boolean;
     /** Whether the request's body is still at hand. */
     readonly replayable: boolean;
     /** Retries left for this call. */
@@ -24,6 +28,9 @@
     if (situation.end === "completed" || situation.retriesLeft < 1 || !situation.replayable) {
         return false;
     }
+    if (situation.refusedBelow || situation.recorded && situation.end === "failed") {
+        return false;
+    }
     const mayHaveRun = situation.end === "failed" || situation.end === "unknown";
     if (mayHaveRun && !situation.repeatable) {
         return false;
--- /dev/null
+++ b/src/decisions/updateAdmittedShare/index.ts
@@ -0,0 +1,46 @@
+/** Share of a route's new actions that is let in, and how it has been going. */
+export interface AdmittedShare {
+    readonly share: number;
+    /** Windows in a row without noticeable refusals. */
+    readonly calmWindows: number;
+}
+
+/** What became of the actions of one route that were let in during a window. */
+export interface ShareReadings {
+    /** Actions that got an answer of an upstream. */
+    readonly answered: number;
+    /** Those among them that failed because a call below was refused for lack of room. */
+    readonly refusedBelow: number;
+}
+
+/** The share of a route that meets no refusals. */
+export const wholeShare: AdmittedShare = { share: 1, calmWindows: 0 };
+
+const tolerableRefusedShare = 0.1;
+const smallestIncrease = 0.05;
+const largestIncrease = 1;
+const increaseStep = 0.01;
+const smallestShare = 0.02;
+
+/**
+ * Updates the share of a route's new actions that is let in.
+ * What was refused below in a window is refused at the entry in the next one, before any work is done for it.
+ * Some refusals are tolerated, so that the bottleneck never runs dry.
+ * Without refusals the share grows, faster with every calm window, so that the route is soon back to normal.
+ */
+export const updateAdmittedShare = (state: AdmittedShare, readings: ShareReadings): AdmittedShare => {
+    const refusedShare = readings.answered === 0 ? 0 : readings.refusedBelow / readings.answered;
+    if (refusedShare > tolerableRefusedShare) {
+        const share = state.share * (1 - refusedShare + tolerableRefusedShare);
+        return { share: Math.max(smallestShare, share), calmWindows: 0 };
+    }
+    const increase = Math.min(largestIncrease, smallestIncrease * 2 ** state.calmWindows);
+    const share = Math.min(1, state.share * (1 + increase) + increaseStep);
+    return { share, calmWindows: state.calmWindows + 1 };
+};
+
+const rankHexDigits = 8;
+
+/** Computes an action's place between 0 and 1; every node computes the same, and so lets the same actions in. */
+export const computeActionRank = (action: string): number =>
+    Number.parseInt(action.slice(-rankHexDigits), 16) / 2 ** (4 * rankHexDigits);
--- /dev/null
+++ b/src/decisions/updateAdmittedShare/test.ts
@@ -0,0 +1,55 @@
+import fc from "fast-check";
+import { type AdmittedShare, computeActionRank, type ShareReadings, updateAdmittedShare, wholeShare } from "./index";
+
+const allRefused = { answered: 100, refusedBelow: 100 };
+const noneRefused = { answered: 100, refusedBelow: 0 };
+
+const runWindows = (start: AdmittedShare, readings: ShareReadings, windows: number): AdmittedShare =>
+    Array.from({ length: windows }).reduce<AdmittedShare>(state => updateAdmittedShare(state, readings), start);
+
+describe("updateAdmittedShare", () => {
+    it("comes down to what passes below, and a tenth more", () => {
+        expect(updateAdmittedShare(wholeShare, { answered: 100, refusedBelow: 60 }).share).toBeCloseTo(0.5);
+    });
+
+    it("never falls to nothing, so that it notices when there is room again", () => {
+        expect(runWindows(wholeShare, allRefused, 50).share).toBe(0.02);
+    });
+
+    it("is back at 1 within 10 windows, 2 seconds, without refusals", () => {
+        expect(runWindows({ share: 0.02, calmWindows: 0 }, noneRefused, 10).share).toBe(1);
+    });
+
+    it("grows slowly at first, so that a bottleneck that stays is met gently", () => {
+        expect(updateAdmittedShare({ share: 0.5, calmWindows: 0 }, noneRefused).share).toBeCloseTo(0.535);
+    });
+
+    it("stays between its bounds for any readings", () => {
+        const counts = fc.tuple(fc.nat(1_000), fc.nat(1_000)).map(([first, second]) => ({
+            answered: Math.max(first, second),
+            refusedBelow: Math.min(first, second),
+        }));
+        const state = fc.record({ share: fc.double({ min: 0.02, max: 1, noNaN: true }), calmWindows: fc.nat(5_000) });
+        fc.assert(
+            fc.property(state, counts, (held, readings) => {
+                const updated = updateAdmittedShare(held, readings);
+                expect(updated.share).toBeGreaterThanOrEqual(0.02);
+                expect(updated.share).toBeLessThanOrEqual(1);
+            }),
+            { seed: 10, numRuns: 500 },
+        );
+    });
+});
+
+describe("computeActionRank", () => {
+    it("spreads actions evenly enough to be used as a share", () => {
+        fc.assert(
+            fc.property(fc.uuid({ version: 7 }), action => {
+                const rank = computeActionRank(action);
+                expect(rank).toBeGreaterThanOrEqual(0);
+                expect(rank).toBeLessThan(1);
+            }),
+            { seed: 11, numRuns: 200 },
+        );
+    });
+});
--- a/src/tasks/_lib/createCall.ts
+++ b/src/tasks/_lib/createCall.ts
@@ -5,13 +5,19 @@
 import { type Call, type RouteMatch } from "../types";
 import { type CallRequest, findRequestHeader } from "./callRequest";
 import { type Clock } from "./clock";
-import { actionHeader, callerHeader, deadlineHeader, importanceHeader, retriesHeader } from "./headers";
+import { actionHeader, callerHeader, deadlineHeader, depthHeader, importanceHeader, retriesHeader } from "./headers";
 
 const timestampHexDigits = 12;
 
 const isActionId = (text: string | undefined): text is string =>
     text !== undefined && validate(text) && version(text) === 7;
 
+/** A call from another node that states no depth is taken for one within an action. */
+const parseDepth = (text: string | undefined): number => {
+    const depth = Number(text ?? 1);
+    return Number.isInteger(depth) && depth >= 0 ? depth : 1;
+};
+
 const computeAgeMs = (action: string, clock: Clock): number =>
     clock.readWallMs() - Number.parseInt(action.replaceAll("-", "").slice(0, timestampHexDigits), 16);
 
@@ -49,6 +55,7 @@
         caller,
         importance: match.route.importance,
         deadlineAtMs: computeDeadline(request, match, clock),
+        depth: 0,
         retries: isFresh ? retryLimit : 0,
     };
 };
@@ -65,6 +72,7 @@
         caller: findRequestHeader(request, callerHeader) ?? "anonymous",
         importance: mergeImportance(inherited, match.route.importance),
         deadlineAtMs: computeDeadline(request, match, clock),
+        depth: parseDepth(findRequestHeader(request, depthHeader)),
         retries: Number.isInteger(retries) ? Math.min(retryLimit, Math.max(0, retries)) : 0,
     };
 };
--- a/src/tasks/_lib/headers.ts
+++ b/src/tasks/_lib/headers.ts
@@ -9,6 +9,8 @@
 export const importanceHeader = "pomelovalve-importance";
 export const outcomeHeader = "pomelovalve-outcome";
 export const loadHeader = "pomelovalve-load";
+export const depthHeader = "pomelovalve-depth";
+export const refusedBelowHeader = "pomelovalve-refused-below";
 export const leavingHeader = "pomelovalve-leaving";
 
 const ownPrefix = "pomelovalve-";
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -16,6 +16,7 @@
     | "answer-not-kept"
     | "wrong-home"
     | "overloaded"
+    | "shed"
     | "displaced"
     | "queue-timeout"
     | "deadline-exceeded"
@@ -48,6 +49,7 @@
     "answer-not-kept": "The request has been completed, but its answer is no longer kept",
     "wrong-home": "The request belongs to another instance",
     overloaded: "There is no room for the request",
+    shed: "What the request needs further on is overloaded",
     displaced: "A more important request took the place in the queue",
     "queue-timeout": "The request waited too long for a slot",
     "deadline-exceeded": "The time for the request is over",
--- a/src/tasks/admission/index.ts
+++ b/src/tasks/admission/index.ts
@@ -112,13 +112,16 @@
 
     private decide(importance: Importance): AdmissionDecision {
         const policy = this.policy!;
-        const rank = importancesFromHighest.indexOf(importance);
+        const { critical, normal, low } = this.queues;
+        const hasLow = low.length > 0;
+        const hasNormal = normal.length > 0;
+        const hasCritical = critical.length > 0;
         return decideAdmission(importance, {
             ...this.readOccupation(),
             queued: this.countQueued(),
             maxQueued: policy.queue.maxLength,
-            hasLesserQueued: importancesFromHighest.slice(rank + 1).some(lesser => this.queues[lesser].length > 0),
-            hasEqualQueued: importancesFromHighest.slice(0, rank + 1).some(equal => this.queues[equal].length > 0),
+            hasLesserQueued: importance === "critical" ? hasNormal || hasLow : importance === "normal" && hasLow,
+            hasEqualQueued: hasCritical || importance !== "critical" && (hasNormal || importance === "low" && hasLow),
         });
     }
 
--- a/src/tasks/control/router.ts
+++ b/src/tasks/control/router.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { type AuditEntry } from "../audit";
 import { type LifecyclePhase } from "../messages";
+import { type RouteShare } from "../shedder";
 
 /** What a node tells of itself. */
 export interface NodeStatus {
@@ -23,6 +24,8 @@
     readonly limit: number;
     readonly queued: number;
     readonly keyRecords: number;
+    /** Routes of which only a share of the new actions is let in. */
+    readonly shares: readonly RouteShare[];
     readonly refusals: Readonly<Record<string, number>>;
     readonly residentBytes: number;
     readonly processorSeconds: number;
--- a/src/tasks/egress/index.ts
+++ b/src/tasks/egress/index.ts
@@ -141,6 +141,7 @@
             action: findRequestHeader(request, actionHeader) ?? this.parts.createId(),
             caller: this.parts.settings.service,
             importance: "low",
+            depth: 0,
             deadlineAtMs: this.parts.clock.readMonotonicMs() + defaultDeadlineMs,
             retries: 0,
         };
--- a/src/tasks/forwarder/exchange.ts
+++ b/src/tasks/forwarder/exchange.ts
@@ -8,6 +8,7 @@
     actionHeader,
     callerHeader,
     deadlineHeader,
+    depthHeader,
     findHeader,
     importanceHeader,
     noHeaders,
@@ -67,6 +68,8 @@
     String(Math.floor(terms.remainingMs)),
     retriesHeader,
     String(terms.retries),
+    depthHeader,
+    String(order.inPlaceOfPayer ? order.payer.depth : order.payer.depth + 1),
 ];
 
 /** Creates the headers of the answer that is passed on. */
--- a/src/tasks/forwarder/forwardedCall.ts
+++ b/src/tasks/forwarder/forwardedCall.ts
@@ -5,7 +5,14 @@
 import { type Address, type Outcome } from "../../types";
 import { type AnswerHead, type AnswerSink, StartedSink } from "../_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, sendAttempt } from "../_lib/attempt";
-import { actionHeader, findHeader, leavingHeader, loadHeader, unusedRetriesHeader } from "../_lib/headers";
+import {
+    actionHeader,
+    findHeader,
+    leavingHeader,
+    loadHeader,
+    refusedBelowHeader,
+    unusedRetriesHeader,
+} from "../_lib/headers";
 import { type Problem, sendProblem } from "../_lib/problem";
 import { type RequestBody } from "../_lib/readBody";
 import { type Timeout } from "../_lib/timerWheel";
@@ -82,10 +89,14 @@
         }
         this.readEvidence(head);
         const outcome = readOutcome(head);
-        if (this.tryRetry(endByOutcome[outcome])) {
+        const refusedBelow = findHeader(head.rawHeaders, refusedBelowHeader) !== undefined;
+        if (this.tryRetry(endByOutcome[outcome], refusedBelow)) {
             this.mayHaveRun ||= outcome !== "not-run";
             return undefined;
         }
+        if (outcome === "not-run" || refusedBelow) {
+            this.parts.ledger.recordRefusedBelow(this.order.payer.id);
+        }
         this.answerOutcome = this.computeToldOutcome(outcome);
         this.order.sink.start({
             status: head.status,
@@ -188,12 +199,14 @@
         return home === undefined ? candidates : candidates.filter(candidate => candidate.endpoint === home);
     }
 
-    private tryRetry(end: AttemptEnd): boolean {
+    private tryRetry(end: AttemptEnd, refusedBelow = false): boolean {
         const isHomed = this.order.home !== undefined;
         const candidates = countRoomy(this.listCandidates(), isHomed ? [] : this.tried);
         const backoffMs = computeBackoff(this.attempts, this.parts.sampleRandom());
         const isAllowed = decideRetry({
             end,
+            recorded: isHomed,
+            refusedBelow,
             repeatable: this.order.repeatable,
             replayable: this.order.body === undefined || Buffer.isBuffer(this.order.body),
             retriesLeft: this.parts.ledger.countRetries(this.order.payer.id),
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -16,9 +16,11 @@
 import { type Ledger } from "../ledger";
 import { type NodeMetrics } from "../metrics";
 import { type PolicyTask } from "../policy";
+import { type Shedder } from "../shedder";
 import { computeFingerprint, serveKeyed, TeeSink } from "./keyedRequest";
 import { type Incoming, matchRequest, type Origin } from "./matchRequest";
-import { leavingProblem, overloadedProblem, ServedCall, type ServeOrder } from "./servedCall";
+import { canBegin, createShedProblem, describeRefusal, leavingProblem } from "./refusals";
+import { ServedCall, type ServeOrder } from "./servedCall";
 
 /** The tasks that the ingress works with. */
 export interface IngressParts {
@@ -28,6 +30,7 @@
     readonly policy: PolicyTask;
     readonly admission: Admission;
     readonly ledger: Ledger;
+    readonly shedder: Shedder;
     readonly keyRecords: KeyRecords;
     readonly forwarder: Forwarder;
     readonly metrics: NodeMetrics;
@@ -79,8 +82,13 @@
             this.refuse(incoming, leavingProblem);
             return;
         }
+        const { call, match } = incoming;
+        if (!canBegin(call, match, this.parts.shedder)) {
+            this.refuse(incoming, createShedProblem(match, this.parts.shedder));
+            return;
+        }
         if (this.parts.admission.isFull(incoming.call.importance)) {
-            this.refuse(incoming, overloadedProblem);
+            this.refuse(incoming, describeRefusal("overloaded"));
             return;
         }
         this.readBody(incoming, body => this.serve(incoming, body));
--- /dev/null
+++ b/src/tasks/ingress/refusals.ts
@@ -0,0 +1,90 @@
+/** The answers of the system's own to requests that it does not run, or that came to no answer. */
+import { drainRetryAfterSeconds, maxShedRetryAfterSeconds, refusalRetryAfterSeconds } from "../../constants";
+import { type Outcome } from "../../types";
+import { type BreakCause } from "../_lib/attempt";
+import { type Problem } from "../_lib/problem";
+import { type RefusalReason } from "../admission";
+import { type Shedder } from "../shedder";
+import { type Call, type RouteMatch } from "../types";
+
+const refusalDetails: Readonly<Record<RefusalReason, string>> = {
+    overloaded: "all slots and places in the queue are taken",
+    displaced: "a more important request came while the queue was full",
+    "queue-timeout": "no slot came free in time",
+};
+
+/** Describes why a request got no slot. */
+export const describeRefusal = (reason: RefusalReason): Problem => ({
+    status: 503,
+    reason,
+    outcome: "not-run",
+    detail: refusalDetails[reason],
+    retryAfterSeconds: refusalRetryAfterSeconds,
+});
+
+/** Answer to a request whose time is over before it got a slot. */
+export const lateProblem: Problem = {
+    status: 504,
+    reason: "deadline-exceeded",
+    outcome: "not-run",
+    detail: "the deadline passed before the request got a slot",
+    retryAfterSeconds: refusalRetryAfterSeconds,
+};
+
+/** Answer to new work at an instance that is shutting down. */
+export const leavingProblem: Problem = {
+    status: 503,
+    reason: "leaving",
+    outcome: "not-run",
+    detail: "this instance takes no new requests",
+    retryAfterSeconds: drainRetryAfterSeconds,
+};
+
+/** Whether a request is let in; calls within an action that is under way always are. */
+export const canBegin = (call: Call, match: RouteMatch, shedder: Shedder): boolean =>
+    call.depth > 0 || shedder.canBegin(match.route.name, call.action);
+
+/** Creates the answer to an action that would fail for lack of room deep inside. */
+export const createShedProblem = (match: RouteMatch, shedder: Shedder): Problem => {
+    const share = shedder.getShare(match.route.name);
+    return {
+        status: 503,
+        reason: "shed",
+        outcome: "not-run",
+        detail: `calls that ${match.route.name} needs are being refused; ${Math.round(share * 100)}% of it is let in`,
+        retryAfterSeconds: Math.min(maxShedRetryAfterSeconds, Math.ceil(1 / share)),
+    };
+};
+
+/** Describes an attempt that came to no answer. */
+export const describeBreak = (cause: Exclude<BreakCause, "cancelled">, outcome: Outcome): Problem => {
+    if (cause === "timeout") {
+        return { status: 504, reason: "deadline-exceeded", outcome, detail: "the upstream did not answer in time" };
+    }
+    if (cause === "unframed") {
+        return {
+            status: 502,
+            reason: "upstream-unframed",
+            outcome,
+            detail: "neither a length nor chunks frame the answer",
+        };
+    }
+    if (cause === "body-too-large") {
+        return {
+            status: 413,
+            reason: "body-too-large",
+            outcome,
+            detail: "the body grew past the bound while it was sent on",
+        };
+    }
+    if (outcome === "not-run") {
+        return {
+            status: 503,
+            reason: "upstream-unreachable",
+            outcome,
+            detail: "the upstream refused the connection",
+            retryAfterSeconds: refusalRetryAfterSeconds,
+        };
+    }
+    return { status: 502, reason: "upstream-broke-off", outcome, detail: "the upstream closed the connection" };
+};
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -1,16 +1,9 @@
 /** One request that the local upstream serves: its slot, its attempt, its answer. */
-import { drainRetryAfterSeconds, minForwardMs, refusalRetryAfterSeconds } from "../../constants";
+import { minForwardMs, refusalRetryAfterSeconds } from "../../constants";
 import { deriveOutcome } from "../../decisions/deriveOutcome";
 import { type Importance, type Outcome } from "../../types";
 import { type AnswerHead, type AnswerSink } from "../_lib/answerSink";
-import {
-    Attempt,
-    type AttemptOwner,
-    type AttemptResult,
-    type BreakCause,
-    type Dispatch,
-    sendAttempt,
-} from "../_lib/attempt";
+import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../_lib/attempt";
 import { type Clock } from "../_lib/clock";
 import {
     actionHeader,
@@ -21,6 +14,7 @@
     loadHeader,
     noHeaders,
     outcomeHeader,
+    refusedBelowHeader,
     stripHeaders,
     unusedRetriesHeader,
 } from "../_lib/headers";
@@ -29,7 +23,9 @@
 import { type Timeout, type TimerWheel } from "../_lib/timerWheel";
 import { type Admission, type RefusalReason, type SlotApplicant, type SlotResult } from "../admission";
 import { type Ledger } from "../ledger";
+import { type Shedder } from "../shedder";
 import { type Call, type RouteMatch } from "../types";
+import { canBegin, createShedProblem, describeBreak, describeRefusal, lateProblem, leavingProblem } from "./refusals";
 
 /** What served calls share. */
 export interface ServingParts {
@@ -37,6 +33,7 @@
     readonly wheel: TimerWheel;
     readonly admission: Admission;
     readonly ledger: Ledger;
+    readonly shedder: Shedder;
     readonly upstream: Dispatch;
     readonly isDraining: () => boolean;
 }
@@ -56,12 +53,6 @@
     readonly finish: (outcome: Outcome, reason: string) => void;
 }
 
-const refusalDetails: Readonly<Record<RefusalReason, string>> = {
-    overloaded: "all slots and places in the queue are taken",
-    displaced: "a more important request came while the queue was full",
-    "queue-timeout": "no slot came free in time",
-};
-
 const slotResultByOutcome: Readonly<Record<Outcome, SlotResult>> = {
     completed: "completed",
     failed: "completed",
@@ -69,24 +60,6 @@
     "may-have-run": "refused",
 };
 
-/** Answer to new work at an instance that is shutting down. */
-export const leavingProblem: Problem = {
-    status: 503,
-    reason: "leaving",
-    outcome: "not-run",
-    detail: "this instance takes no new requests",
-    retryAfterSeconds: drainRetryAfterSeconds,
-};
-
-/** Answer to a request for which there is neither a slot nor a place in the queue. */
-export const overloadedProblem: Problem = {
-    status: 503,
-    reason: "overloaded",
-    outcome: "not-run",
-    detail: "all slots and places in the queue are taken",
-    retryAfterSeconds: refusalRetryAfterSeconds,
-};
-
 /** Owns the state of one served request. */
 export class ServedCall implements SlotApplicant, AttemptOwner {
     readonly importance: Importance;
@@ -110,6 +83,10 @@
             this.refuseWith(leavingProblem);
             return;
         }
+        if (!canBegin(this.order.call, this.order.match, this.parts.shedder)) {
+            this.refuseWith(createShedProblem(this.order.match, this.parts.shedder));
+            return;
+        }
         this.deadline = this.parts.wheel.add(remainingMs, () => this.expire());
         this.withdraw = this.parts.admission.apply(this);
     }
@@ -141,20 +118,20 @@
     }
 
     refuse(reason: RefusalReason): void {
-        this.refuseWith({
-            status: 503,
-            reason,
-            outcome: "not-run",
-            detail: refusalDetails[reason],
-            retryAfterSeconds: refusalRetryAfterSeconds,
-        });
+        this.refuseWith(describeRefusal(reason));
     }
 
     takeAnswer(head: AnswerHead): AnswerSink | undefined {
         const stated = findHeader(head.rawHeaders, outcomeHeader);
         const { notRunStatuses } = this.order.match.servicePolicy;
         this.outcome = deriveOutcome({ status: head.status, stated, notRunStatuses });
-        this.order.sink.start({ status: head.status, rawHeaders: this.createAnswerHeaders(head, this.outcome) });
+        const refusedBelow = this.outcome !== "completed" && this.parts.ledger.isRefusedBelow(this.order.call.id);
+        this.parts.shedder.recordAnswer(this.order.match.route.name, refusedBelow);
+        const rawHeaders = this.createAnswerHeaders(head, this.outcome);
+        if (refusedBelow && this.order.forPeer) {
+            rawHeaders.push(refusedBelowHeader, "1");
+        }
+        this.order.sink.start({ status: head.status, rawHeaders });
         return this.order.sink;
     }
 
@@ -189,13 +166,7 @@
     }
 
     private refuseLate(): void {
-        this.refuseWith({
-            status: 504,
-            reason: "deadline-exceeded",
-            outcome: "not-run",
-            detail: "the deadline passed before the request got a slot",
-            retryAfterSeconds: refusalRetryAfterSeconds,
-        });
+        this.refuseWith(lateProblem);
     }
 
     private refuseWith(problem: Problem): void {
@@ -203,7 +174,11 @@
             return;
         }
         this.finished = true;
-        sendProblem(this.order.sink, problem, this.createOwnHeaders(problem.outcome).slice(2));
+        const headers = this.createOwnHeaders(problem.outcome).slice(2);
+        if (problem.reason === "shed" && this.order.forPeer) {
+            headers.push(refusedBelowHeader, "1");
+        }
+        sendProblem(this.order.sink, problem, headers);
         this.settle(problem.outcome, problem.reason);
     }
 
@@ -256,36 +231,3 @@
         return this.order.call.deadlineAtMs - this.parts.clock.readMonotonicMs();
     }
 }
-
-/** Describes an attempt that came to no answer. */
-const describeBreak = (cause: Exclude<BreakCause, "cancelled">, outcome: Outcome): Problem => {
-    if (cause === "timeout") {
-        return { status: 504, reason: "deadline-exceeded", outcome, detail: "the upstream did not answer in time" };
-    }
-    if (cause === "unframed") {
-        return {
-            status: 502,
-            reason: "upstream-unframed",
-            outcome,
-            detail: "neither a length nor chunks frame the answer",
-        };
-    }
-    if (cause === "body-too-large") {
-        return {
-            status: 413,
-            reason: "body-too-large",
-            outcome,
-            detail: "the body grew past the bound while it was sent on",
-        };
-    }
-    if (outcome === "not-run") {
-        return {
-            status: 503,
-            reason: "upstream-unreachable",
-            outcome,
-            detail: "the upstream refused the connection",
-            retryAfterSeconds: refusalRetryAfterSeconds,
-        };
-    }
-    return { status: 502, reason: "upstream-broke-off", outcome, detail: "the upstream closed the connection" };
-};
--- a/src/tasks/ledger/index.ts
+++ b/src/tasks/ledger/index.ts
@@ -5,6 +5,8 @@
 interface LedgerEntry {
     readonly call: Call;
     readonly retriesLeft: number;
+    /** Whether a child call was refused for lack of room. */
+    readonly refusedBelow: boolean;
 }
 
 /** Owns the retry allowance of each call that is under way at this node. */
@@ -17,7 +19,7 @@
     }
 
     open(call: Call): void {
-        this.entries.set(call.id, { call, retriesLeft: call.retries });
+        this.entries.set(call.id, { call, retriesLeft: call.retries, refusedBelow: false });
     }
 
     find(callId: string | undefined): Call | undefined {
@@ -70,6 +72,19 @@
         this.entries.set(callId, { ...entry, retriesLeft: entry.retriesLeft + returned });
     }
 
+    /** Records that a child call was refused for lack of room. */
+    recordRefusedBelow(callId: string): void {
+        const entry = this.entries.get(callId);
+        if (entry) {
+            this.entries.set(callId, { ...entry, refusedBelow: true });
+        }
+    }
+
+    /** Whether a child call of a call was refused for lack of room. */
+    isRefusedBelow(callId: string): boolean {
+        return this.entries.get(callId)?.refusedBelow ?? false;
+    }
+
     /** Closes a call; later child calls of it get no retries. */
     close(callId: string): void {
         this.entries.delete(callId);
--- a/src/tasks/ledger/test.ts
+++ b/src/tasks/ledger/test.ts
@@ -10,6 +10,7 @@
     caller: "caller",
     importance: "normal",
     deadlineAtMs: 1_000,
+    depth: 0,
     retries,
 });
 
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -17,6 +17,7 @@
 import { MessageBus } from "./messages";
 import { NodeMetrics } from "./metrics";
 import { PolicyTask } from "./policy";
+import { Shedder } from "./shedder";
 
 /** Where the core reaches its surroundings. */
 export interface CoreConnections {
@@ -39,6 +40,7 @@
     readonly ledger = new Ledger();
     readonly keyRecords: KeyRecords;
     readonly admission: Admission;
+    readonly shedder: Shedder;
     readonly metrics: NodeMetrics;
     readonly audit: AuditTrail;
     readonly forwarder: Forwarder;
@@ -58,13 +60,14 @@
         this.directory = new Directory(clock);
         this.keyRecords = new KeyRecords(clock);
         this.admission = new Admission(this.wheel, clock.readMonotonicMs);
+        this.shedder = new Shedder(clock.readMonotonicMs);
         this.audit = new AuditTrail(this.bus, endpoint, clock.readWallMs, connections.writeAudit);
         this.metrics = new NodeMetrics(() => ({
             ...this.admission.readFigures(),
             keyRecords: this.keyRecords.size,
             policyVersion: this.policy.inForce?.version ?? 0,
         }));
-        const { wheel, directory, ledger, metrics, policy, admission, keyRecords, sampleRandom } = this;
+        const { wheel, directory, ledger, metrics, policy, admission, keyRecords, shedder, sampleRandom } = this;
         this.forwarder = new Forwarder({
             clock,
             wheel,
@@ -79,7 +82,7 @@
         const isDraining = (): boolean => this.lifecycle.isDraining();
         const { createId } = connections;
         const shared = { settings, clock, wheel, policy, ledger, forwarder, createId };
-        this.ingress = new Ingress({ ...shared, admission, keyRecords, metrics, upstream, isDraining });
+        this.ingress = new Ingress({ ...shared, admission, keyRecords, shedder, metrics, upstream, isDraining });
         this.egress = new Egress(shared);
         this.subscribe();
     }
@@ -104,6 +107,7 @@
             instancesKnown: this.directory.listInstances().length,
             ...this.admission.readFigures(),
             keyRecords: this.keyRecords.size,
+            shares: this.shedder.listShares(),
             refusals: this.metrics.listRefusals(),
             residentBytes: process.memoryUsage.rss(),
             processorSeconds: (usage.user + usage.system) / 1e6,
--- a/src/tasks/types.ts
+++ b/src/tasks/types.ts
@@ -13,6 +13,8 @@
     readonly importance: Importance;
     /** Monotonic time by which the call must be answered, in milliseconds. */
     readonly deadlineAtMs: number;
+    /** Calls between the entry of the action and this one. */
+    readonly depth: number;
     /** Retries that came with the call. */
     readonly retries: number;
 }
