--- /dev/null
+++ b/src/decisions/judgeKeyAge/test.ts
@@ -0,0 +1,54 @@
+import fc from "fast-check";
+import { keyClockMarginMs } from "../../constants";
+import { judgeKeyAge } from "./index";
+
+const retentionMs = 600_000;
+const epochMs = Date.UTC(2026, 0, 1);
+
+/** Creates a key with a mint time. */
+const createKey = (mintMs: number): string => {
+    const hex = mintMs.toString(16).padStart(12, "0");
+    return `${hex.slice(0, 8)}-${hex.slice(8)}-7abc-8def-0123456789ab`;
+};
+
+const judge = (mintOffsetMs: number, nowOffsetMs: number) =>
+    judgeKeyAge(createKey(epochMs + mintOffsetMs), { startedAt: epochMs, now: epochMs + nowOffsetMs, retentionMs });
+
+describe("judgeKeyAge", () => {
+    it("accepts a key minted after the start by more than the margin", () => {
+        expect(judge(keyClockMarginMs + 1, 5_000)).toBe("fresh");
+    });
+
+    it("does not accept a key that an earlier incarnation may have run", () => {
+        expect(judge(keyClockMarginMs, 5_000)).toBe("before-start");
+    });
+
+    it("does not accept a key from the future, nor one older than the records", () => {
+        expect(judge(9_000, 5_000)).toBe("from-future");
+        expect(judge(10_000, 1_000_000)).toBe("expired");
+    });
+
+    it.each(["order-1", "", "123e4567-e89b-42d3-a456-426614174000"])("asks for a UUID of version 7, not %j", key => {
+        expect(judgeKeyAge(key, { startedAt: epochMs, now: epochMs, retentionMs })).toBe("not-uuid-v7");
+    });
+
+    it("lets at most one of several incarnations accept a key, whatever the caller's clock shows", () => {
+        const gaps = fc.array(fc.integer({ min: 0, max: 20_000 }), { minLength: 2, maxLength: 12 });
+        fc.assert(
+            fc.property(gaps, fc.integer({ min: -10_000, max: 120_000 }), (restartGaps, mintOffset) => {
+                const key = createKey(epochMs + mintOffset);
+                let startedAt = epochMs;
+                let accepted = 0;
+                restartGaps.forEach(gap => {
+                    const endedAt = startedAt + gap;
+                    const times = [startedAt, Math.floor((startedAt + endedAt) / 2), endedAt];
+                    const isAccepted = times.some(now => judgeKeyAge(key, { startedAt, now, retentionMs }) === "fresh");
+                    accepted += isAccepted ? 1 : 0;
+                    startedAt = endedAt;
+                });
+                expect(accepted).toBeLessThanOrEqual(1);
+            }),
+            { seed: 12, numRuns: 5_000 },
+        );
+    });
+});
--- a/src/sessions/bookingAndDrain/test.ts
+++ b/src/sessions/bookingAndDrain/test.ts
@@ -1,57 +1,19 @@
 import { patchPolicyLog } from "../../policy/patchPolicyLog";
-import { type UpstreamRoute } from "../../standins/types";
 import { compareGolden } from "../../testing/compareGolden";
 import { createIdSource } from "../../testing/createIdSource";
-import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
+import { createTwoServicePolicy, deskRoutes, storeRoutes } from "../../testing/createTwoServiceGraph";
 import { CollectingSink, FakeCallRequest } from "../../testing/fakeExchange";
 import { SessionLog } from "../../testing/sessionLog";
 import { VirtualClock } from "../../testing/virtualClock";
 import { VirtualGraph } from "../../testing/virtualGraph";
 
-const deskRoutes: readonly UpstreamRoute[] = [
-    {
-        method: "GET",
-        pathPrefix: "/items/",
-        workMs: 20,
-        idempotent: true,
-        children: [{ service: "store", method: "GET", path: "/items/1" }],
-    },
-    {
-        method: "POST",
-        pathPrefix: "/bookings",
-        workMs: 20,
-        idempotent: false,
-        children: [{ service: "store", method: "POST", path: "/bookings" }],
-    },
-];
-
-const storeRoutes: readonly UpstreamRoute[] = [
-    { method: "GET", pathPrefix: "/items/", workMs: 30, idempotent: true, children: [] },
-    { method: "POST", pathPrefix: "/bookings", workMs: 30, idempotent: false, children: [] },
-];
-
-const createSessionPolicy = () =>
-    createPolicy({
-        services: {
-            desk: createServicePolicy({ slots: 4 }),
-            store: createServicePolicy({
-                slots: 2,
-                queue: { maxLength: 1, maxWaitMs: 60 },
-                endpoints: [
-                    { name: "store-a", failureDomain: "zone-a" },
-                    { name: "store-b", failureDomain: "zone-b" },
-                ],
-            }),
-        },
-    });
-
 /** A session with the means to send requests by name. */
 const createSession = () => {
     const clock = new VirtualClock();
     const log = new SessionLog(clock.readMonotonicMs);
     const graph = new VirtualGraph({
         clock,
-        policy: createSessionPolicy(),
+        policy: createTwoServicePolicy(),
         upstreamRoutes: { desk: deskRoutes, store: storeRoutes },
         seed: 7,
         recordRun: run => log.recordRun(run),
--- /dev/null
+++ b/src/testing/createTwoServiceGraph.ts
@@ -0,0 +1,82 @@
+/** A graph of two services in two failure domains, for sessions. */
+import { type Policy } from "../policy/types";
+import { type UpstreamRoute } from "../standins/types";
+import { createIdSource } from "./createIdSource";
+import { createPolicy, createServicePolicy } from "./createPolicy";
+import { CollectingSink, FakeCallRequest, type ReceivedAnswer } from "./fakeExchange";
+import { type UpstreamRun } from "./fakeUpstream";
+import { VirtualClock } from "./virtualClock";
+import { VirtualGraph } from "./virtualGraph";
+
+/** What the desk does: each request makes one call to the store. */
+export const deskRoutes: readonly UpstreamRoute[] = [
+    {
+        method: "GET",
+        pathPrefix: "/items/",
+        workMs: 20,
+        idempotent: true,
+        children: [{ service: "store", method: "GET", path: "/items/1" }],
+    },
+    {
+        method: "POST",
+        pathPrefix: "/bookings",
+        workMs: 20,
+        idempotent: false,
+        children: [{ service: "store", method: "POST", path: "/bookings" }],
+    },
+];
+
+/** What the store does: work, and no calls. */
+export const storeRoutes: readonly UpstreamRoute[] = [
+    { method: "GET", pathPrefix: "/items/", workMs: 30, idempotent: true, children: [] },
+    { method: "POST", pathPrefix: "/bookings", workMs: 30, idempotent: false, children: [] },
+];
+
+/** Creates the policy of the graph. */
+export const createTwoServicePolicy = (deskSlots = 4, storeSlots = 2): Policy =>
+    createPolicy({
+        services: {
+            desk: createServicePolicy({ slots: deskSlots }),
+            store: createServicePolicy({
+                slots: storeSlots,
+                queue: { maxLength: 1, maxWaitMs: 60 },
+                endpoints: [
+                    { name: "store-a", failureDomain: "zone-a" },
+                    { name: "store-b", failureDomain: "zone-b" },
+                ],
+            }),
+        },
+    });
+
+/** A graph with the means to send requests and to see what became of them. */
+export interface TwoServiceGraph {
+    readonly graph: VirtualGraph;
+    readonly clock: VirtualClock;
+    readonly runs: readonly UpstreamRun[];
+    readonly createId: () => string;
+    /** Sends a request from outside; its answer, once there is one, is in the returned list. */
+    readonly send: (endpoint: string, method: string, key?: string) => readonly ReceivedAnswer[];
+}
+
+/** Creates the graph and lets its nodes grow older than the margin between clocks. */
+export const createTwoServiceGraph = (policy = createTwoServicePolicy(), seed = 7): TwoServiceGraph => {
+    const clock = new VirtualClock();
+    const runs: UpstreamRun[] = [];
+    const graph = new VirtualGraph({
+        clock,
+        policy,
+        upstreamRoutes: { desk: deskRoutes, store: storeRoutes },
+        seed,
+        recordRun: run => runs.push(run),
+    });
+    const send = (endpoint: string, method: string, key?: string): readonly ReceivedAnswer[] => {
+        const answers: ReceivedAnswer[] = [];
+        const sink = new CollectingSink(answer => answers.push(answer));
+        const headers = key === undefined ? [] : ["idempotency-key", key];
+        const path = method === "GET" ? "/items/1" : "/bookings";
+        graph.send(endpoint, new FakeCallRequest(method, path, headers, undefined, sink));
+        return answers;
+    };
+    clock.runUntil(5_000);
+    return { graph, clock, runs, createId: createIdSource(clock, seed), send };
+};
