Measure what a node costs at sizes up to the target, and derive only new versions

Change: bench 'capacity'; deriveChain and patchPolicyLog take a known version and skip the entries up to it.

--- a/bench/capacity/index.ts
+++ b/bench/capacity/index.ts
@@ -4,8 +4,9 @@
 import { request } from "undici";
 import { renderTable } from "../../src/commands/_lib/renderTable";
 import { createPolicyLog } from "../../src/policy/createPolicyLog";
+import { deriveChain } from "../../src/policy/deriveChain";
 import { patchPolicyLog } from "../../src/policy/patchPolicyLog";
-import { type PolicyLog } from "../../src/policy/types";
+import { type PolicyLog, type PolicyVersion } from "../../src/policy/types";
 import { findFreePorts } from "../../src/testing/findFreePort";
 import { awaitAnswer, sendSwitch } from "../_lib/cluster";
 import { Processes } from "../_lib/processes";
@@ -75,22 +76,31 @@
     reason: `change to version ${version}`,
 });
 
-const patchLog = (log: PolicyLog, version: number): PolicyLog => {
+/** A log with its latest version, so that one more patch needs no derivation of the whole chain. */
+interface GrowingLog {
+    readonly log: PolicyLog;
+    readonly latest: PolicyVersion;
+}
+
+const patchLog = ({ log, latest }: GrowingLog): GrowingLog => {
+    const { version } = latest;
     const patch = [{ op: "replace", path: "/services/service-0/slots", value: 100 + version }];
-    const patched = patchPolicyLog(log, version, patch, createNote(version + 1));
+    const patched = patchPolicyLog(log, version, patch, createNote(version + 1), latest);
     if (!patched.ok) {
         throw new Error(JSON.stringify(patched.faults));
     }
-    return patched.value;
+    const { versions } = deriveChain(patched.value, latest);
+    return { log: patched.value, latest: versions[versions.length - 1]! };
 };
 
 /** A log with a tail of patches, as it is in the middle of a day. */
-const createLog = (size: GraphSize): PolicyLog => {
+const createLog = (size: GraphSize): GrowingLog => {
     const created = createPolicyLog(createLargePolicy(size), createNote(1));
     if (!created.ok) {
         throw new Error(JSON.stringify(created.faults));
     }
-    return [...Array(tailLength).keys()].reduce((log, index) => patchLog(log, index + 1), created.value);
+    const first: GrowingLog = { log: created.value, latest: created.value.snapshot };
+    return [...Array(tailLength).keys()].reduce(patchLog, first);
 };
 
 const createNodeSettings = (platformPort: number, ports: readonly number[]) => ({
@@ -109,14 +119,14 @@
 });
 
 /** Publishes patches one after the other; returns the processor time for each and the slowest adoption. */
-const measurePatches = async (log: PolicyLog, platformPort: number, controlPort: number) => {
+const measurePatches = async (log: GrowingLog, platformPort: number, controlPort: number) => {
     const before = await readNode(controlPort);
     let current = log;
     let slowestMs = 0;
     for (let index = 0; index < patches; index += 1) {
-        current = patchLog(current, before.version + index);
+        current = patchLog(current);
         const startedAtMs = performance.now();
-        await sendSwitch(platformPort, "/standin/values/policy", current);
+        await sendSwitch(platformPort, "/standin/values/policy", current.log);
         while ((await readNode(controlPort)).version <= before.version + index) {
             await awaitMs(10);
         }
@@ -150,7 +160,7 @@
         await awaitAnswer(`http://${host}:${platformPort}/standin/reads`);
         const log = createLog(size);
         const instances = createLargeInstances(createLargePolicy(size));
-        await sendSwitch(platformPort, "/standin/values/policy", log);
+        await sendSwitch(platformPort, "/standin/values/policy", log.log);
         await sendSwitch(platformPort, "/standin/values/instances", instances);
         const settingsFile = `${folder}/node.json`;
         writeFileSync(settingsFile, JSON.stringify(createNodeSettings(platformPort, ports)));
@@ -167,7 +177,7 @@
         const listMs = await measureLists(size, platformPort, controlPort);
         return {
             size,
-            logBytes: JSON.stringify(log).length,
+            logBytes: JSON.stringify(log.log).length,
             listBytes: JSON.stringify(instances).length,
             restBytes: rested.residentBytes,
             busyBytes: (await readNode(controlPort)).residentBytes,
--- a/src/policy/deriveChain/index.ts
+++ b/src/policy/deriveChain/index.ts
@@ -31,9 +31,26 @@
     return { accepted: true, version: { version, baseDigest, digest, author, time, reason, policy: patched.value } };
 };
 
-/** Derives the accepted versions from a log; every node that reads the same log derives the same chain. */
-export const deriveChain = (log: PolicyLog): PolicyChain =>
-    log.entries.reduce<PolicyChain>(
+/** Where a derivation begins: a version, and the entries of the log that come after it. */
+interface ChainStart {
+    readonly version: PolicyVersion;
+    readonly entries: readonly PolicyLogEntry[];
+}
+
+const findStart = (log: PolicyLog, known: PolicyVersion | undefined): ChainStart => {
+    const knownIndex = known ? log.entries.findIndex(entry => entry.digest === known.digest) : -1;
+    return known && knownIndex >= 0
+        ? { version: known, entries: log.entries.slice(knownIndex + 1) }
+        : { version: log.snapshot, entries: log.entries };
+};
+
+/**
+ * Derives the accepted versions from a log; every node that reads the same log derives the same chain.
+ * A version that is known already, and that the log contains, saves the work for all entries up to it.
+ */
+export const deriveChain = (log: PolicyLog, known?: PolicyVersion): PolicyChain => {
+    const start = findStart(log, known);
+    return start.entries.reduce<PolicyChain>(
         (chain, entry) => {
             const latest = chain.versions[chain.versions.length - 1]!;
             const result = applyEntry(latest, entry);
@@ -41,5 +58,6 @@
                 ? { ...chain, versions: [...chain.versions, result.version] }
                 : { ...chain, rejected: [...chain.rejected, { entry, reason: result.reason }] };
         },
-        { versions: [log.snapshot], rejected: [] },
+        { versions: [start.version], rejected: [] },
     );
+};
--- a/src/policy/patchPolicyLog/index.ts
+++ b/src/policy/patchPolicyLog/index.ts
@@ -4,22 +4,26 @@
 import { computeDigest } from "../computeDigest";
 import { deriveChain } from "../deriveChain";
 import { patchSchema } from "../schema";
-import { type ChangeNote, type PolicyLog } from "../types";
+import { type ChangeNote, type PolicyLog, type PolicyVersion } from "../types";
 
 const refuse = (path: string, message: string): Checked<never> => ({ ok: false, faults: [{ path, message }] });
 
-/** Appends a patch against a numbered version; it is refused unless that version is the latest one. */
+/**
+ * Appends a patch against a numbered version; it is refused unless that version is the latest one.
+ * A known version of the log saves the work for all entries up to it.
+ */
 export const patchPolicyLog = (
     log: PolicyLog,
     against: number,
     patchInput: unknown,
     note: ChangeNote,
+    known?: PolicyVersion,
 ): Checked<PolicyLog> => {
     const patch = checkShape(patchSchema, patchInput);
     if (!patch.ok) {
         return patch;
     }
-    const versions = deriveChain(log).versions;
+    const { versions } = deriveChain(log, known);
     const latest = versions[versions.length - 1]!;
     if (against !== latest.version) {
         return refuse("$", `the patch is against version ${against}, but version ${latest.version} is current`);
--- a/src/tasks/policy/index.ts
+++ b/src/tasks/policy/index.ts
@@ -65,7 +65,7 @@
             });
             return;
         }
-        const chain = deriveChain(parsed.value);
+        const chain = deriveChain(parsed.value, this.current);
         chain.rejected.forEach(({ entry, reason }) =>
             this.recordOnce(`rejected ${entry.version} ${entry.digest} ${entry.time}`, "policy-entry-rejected", {
                 version: entry.version,
