Read only what is new in a policy log, and make routers when they are needed

Cause: a node checked the whole log of 216 KB and built the routers of all 190 services for every patch. Ruled out: patches of their own on the platform (the value is what operators publish and review). Change: a log that contains the version in force is checked and derived only behind it; routes are checked only where a patch touches them; the router of a service is made at its first call.

--- a/src/policy/checkPolicy/index.ts
+++ b/src/policy/checkPolicy/index.ts
@@ -23,16 +23,22 @@
     });
 };
 
-const checkService = (serviceName: string, service: ServicePolicy): readonly Fault[] => [
+const checkService = (serviceName: string, service: ServicePolicy, arePathsKnown: boolean): readonly Fault[] => [
     ...listRepeated(service.routes.map(route => route.name)).map(name => ({
         path: `$.services.${serviceName}.routes`,
         message: `two routes are named "${name}"`,
     })),
-    ...checkRoutePaths(serviceName, service),
+    ...(arePathsKnown ? [] : checkRoutePaths(serviceName, service)),
 ];
 
+/** What is known of a policy before it is checked. */
+export interface PolicyCheckOptions {
+    /** Services whose routes are the same as in a policy that was checked before. */
+    readonly hasKnownRoutes?: (serviceName: string) => boolean;
+}
+
 /** Checks a policy's shape and the rules that span several fields; all faults are listed at once. */
-export const checkPolicy = (input: unknown): Checked<Policy> => {
+export const checkPolicy = (input: unknown, options: PolicyCheckOptions = {}): Checked<Policy> => {
     const shaped = checkShape(policySchema, input);
     if (!shaped.ok) {
         return shaped;
@@ -44,7 +50,7 @@
             path: "$.services",
             message: `two endpoints are named "${name}"`,
         })),
-        ...services.flatMap(([name, service]) => checkService(name, service)),
+        ...services.flatMap(([name, service]) => checkService(name, service, options.hasKnownRoutes?.(name) ?? false)),
     ];
     return faults.length === 0 ? shaped : { ok: false, faults };
 };
--- a/src/policy/parsePolicyLog/test.ts
+++ b/src/policy/parsePolicyLog/test.ts
@@ -75,3 +75,42 @@
         );
     });
 });
+
+describe("parsePolicyLog with a known version", () => {
+    it("returns only what follows that version, and the same latest version as without it", () => {
+        const log = createLog();
+        const all = deriveChain(log).versions;
+        all.forEach(known => {
+            const parsed = parsePolicyLog(JSON.stringify(log), known);
+            if (!parsed.ok) {
+                throw new Error(JSON.stringify(parsed.faults));
+            }
+            expect(parsed.value.entries).toHaveLength(log.entries.length - known.version + 1);
+            const { versions } = deriveChain(parsed.value, known);
+            expect(versions[versions.length - 1]!.digest).toBe(all[all.length - 1]!.digest);
+        });
+    });
+
+    it("checks a log that does not contain that version as a whole", () => {
+        const known = { ...deriveChain(createLog()).versions[0]!, digest: "0".repeat(64) };
+        expect(parsePolicyLog(JSON.stringify(createLog()), known)).toEqual({ ok: true, value: createLog() });
+        expect(parsePolicyLog('{"entries":[null]}', known).ok).toBe(false);
+    });
+});
+
+describe("a patch that touches routes", () => {
+    it("has them checked, also when it moves or replaces what holds them", () => {
+        const log = createLog();
+        const badRoute = { ...createPolicy().services["desk"]!.routes[0]!, name: "bad", path: "/items/:item/:item(" };
+        const patches = [
+            [{ op: "add", path: "/services/desk/routes/-", value: badRoute }],
+            [{ op: "replace", path: "/services/desk/routes/0/path", value: badRoute.path }],
+            [{
+                op: "replace",
+                path: "/services",
+                value: { desk: { ...createPolicy().services["desk"]!, routes: [badRoute] } },
+            }],
+        ];
+        patches.forEach(patch => expect(patchPolicyLog(log, 2, patch, note).ok).toBe(false));
+    });
+});
--- a/src/tasks/policy/index.ts
+++ b/src/tasks/policy/index.ts
@@ -2,7 +2,7 @@
 import createRouter from "find-my-way";
 import { deriveChain } from "../../policy/deriveChain";
 import { parsePolicyLog } from "../../policy/parsePolicyLog";
-import { type PolicyVersion, type RoutePolicy } from "../../policy/types";
+import { type PolicyVersion, type RoutePolicy, type ServicePolicy } from "../../policy/types";
 import { type MessageBus } from "../messages";
 import { type RouteMatch } from "../types";
 
@@ -48,14 +48,25 @@
         }
         const queryStart = path.indexOf("?");
         const plainPath = queryStart < 0 ? path : path.slice(0, queryStart);
-        const router = this.routers.get(service)!;
+        const router = this.openRouter(service, servicePolicy);
         const found = router.find(method as RoutePolicy["method"], plainPath)
             ?? (method === "HEAD" ? router.find("GET", plainPath) : undefined);
         return found ? { service, servicePolicy, route: found.store as RoutePolicy } : undefined;
     }
 
+    /** Returns the router of a service; it is made when the first call to the service comes. */
+    private openRouter(service: string, servicePolicy: ServicePolicy): ServiceRouter {
+        const existing = this.routers.get(service);
+        if (existing) {
+            return existing;
+        }
+        const router = createServiceRouter(servicePolicy.routes);
+        this.routers.set(service, router);
+        return router;
+    }
+
     private readLog(text: string, source: string): void {
-        const parsed = parsePolicyLog(text);
+        const parsed = parsePolicyLog(text, this.current);
         if (!parsed.ok) {
             const [first] = parsed.faults;
             this.recordOnce(`unreadable ${first!.path}`, "policy-unreadable", {
@@ -105,11 +116,7 @@
         this.current = version;
         this.currentSource = source;
         this.adoptedAtMs = this.readWallMs();
-        this.routers = new Map(
-            Object.entries(version.policy.services).map((
-                [name, service],
-            ) => [name, createServiceRouter(service.routes)]),
-        );
+        this.routers = new Map();
         this.bus.publish({ kind: "policyAdopted", version, source });
         this.recordAudit("policy-adopted", {
             version: version.version,
