Refuse requests during which upstreams have died

Ruled out: suspecting every request under way at a crash for good (popular look-ups are under way at every crash). Change: fingerprints of caller, method, path and body; two incidents refuse an idempotent or keyed request for 60 s, one an unkeyed non-idempotent one; an answered request is cleared; 2,000 fingerprints at most.

--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -35,6 +35,11 @@
 export const actionFreshnessMs = 250;
 export const maxLedgerEntries = 50_000;
 
+export const maxSuspects = 2_000;
+export const quarantineRetryAfterSeconds = 60;
+export const noticeTimeoutMs = 2_000;
+export const maxNoticesInFlight = 64;
+
 export const maxAuditEvents = 2_000;
 
 export const refusalRetryAfterSeconds = 1;
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -17,6 +17,7 @@
     | "wrong-home"
     | "overloaded"
     | "shed"
+    | "quarantined"
     | "displaced"
     | "queue-timeout"
     | "deadline-exceeded"
@@ -49,6 +50,7 @@
     "answer-not-kept": "The request has been completed, but its answer is no longer kept",
     "wrong-home": "The request belongs to another instance",
     overloaded: "There is no room for the request",
+    quarantined: "Upstreams have died during this request",
     shed: "What the request needs further on is overloaded",
     displaced: "A more important request took the place in the queue",
     "queue-timeout": "The request waited too long for a slot",
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -16,6 +16,7 @@
 import { type Ledger } from "../ledger";
 import { type NodeMetrics } from "../metrics";
 import { type PolicyTask } from "../policy";
+import { type Quarantine } from "../quarantine";
 import { type Shedder } from "../shedder";
 import { computeFingerprint, serveKeyed, TeeSink } from "./keyedRequest";
 import { type Incoming, matchRequest, type Origin } from "./matchRequest";
@@ -31,6 +32,7 @@
     readonly admission: Admission;
     readonly ledger: Ledger;
     readonly shedder: Shedder;
+    readonly quarantine: Quarantine;
     readonly keyRecords: KeyRecords;
     readonly forwarder: Forwarder;
     readonly metrics: NodeMetrics;
@@ -227,5 +229,7 @@
     if (length !== undefined && body !== undefined && !Buffer.isBuffer(body)) {
         rawHeaders.push("content-length", length);
     }
-    return { call, match, method: request.method, path: request.url, rawHeaders, body, forPeer: origin === "peer" };
+    const { method, url: path } = request;
+    const kind = match.route.idempotent ? "idempotent" : incoming.key === undefined ? "unkeyed" : "keyed";
+    return { call, match, method, path, rawHeaders, body, kind, forPeer: origin === "peer" };
 };
--- a/src/tasks/ingress/refusals.ts
+++ b/src/tasks/ingress/refusals.ts
@@ -1,5 +1,10 @@
 /** The answers of the system's own to requests that it does not run, or that came to no answer. */
-import { drainRetryAfterSeconds, maxShedRetryAfterSeconds, refusalRetryAfterSeconds } from "../../constants";
+import {
+    drainRetryAfterSeconds,
+    maxShedRetryAfterSeconds,
+    quarantineRetryAfterSeconds,
+    refusalRetryAfterSeconds,
+} from "../../constants";
 import { type Outcome } from "../../types";
 import { type BreakCause } from "../_lib/attempt";
 import { type Problem } from "../_lib/problem";
@@ -40,6 +45,15 @@
     retryAfterSeconds: drainRetryAfterSeconds,
 };
 
+/** Answer to a request during which upstreams have died. */
+export const quarantinedProblem: Problem = {
+    status: 503,
+    reason: "quarantined",
+    outcome: "not-run",
+    detail: "upstreams have died during this request; it is not run for the time being",
+    retryAfterSeconds: quarantineRetryAfterSeconds,
+};
+
 /** Whether a request is let in; calls within an action that is under way always are. */
 export const canBegin = (call: Call, match: RouteMatch, shedder: Shedder): boolean =>
     call.depth > 0 || shedder.canBegin(match.route.name, call.action);
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -1,6 +1,7 @@
 /** One request that the local upstream serves: its slot, its attempt, its answer. */
 import { minForwardMs, refusalRetryAfterSeconds } from "../../constants";
 import { deriveOutcome } from "../../decisions/deriveOutcome";
+import { type SuspectKind } from "../../decisions/judgeSuspect";
 import { type Importance, type Outcome } from "../../types";
 import { type AnswerHead, type AnswerSink } from "../_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../_lib/attempt";
@@ -23,9 +24,18 @@
 import { type Timeout, type TimerWheel } from "../_lib/timerWheel";
 import { type Admission, type RefusalReason, type SlotApplicant, type SlotResult } from "../admission";
 import { type Ledger } from "../ledger";
+import { computeSuspectFingerprint, type Quarantine } from "../quarantine";
 import { type Shedder } from "../shedder";
 import { type Call, type RouteMatch } from "../types";
-import { canBegin, createShedProblem, describeBreak, describeRefusal, lateProblem, leavingProblem } from "./refusals";
+import {
+    canBegin,
+    createShedProblem,
+    describeBreak,
+    describeRefusal,
+    lateProblem,
+    leavingProblem,
+    quarantinedProblem,
+} from "./refusals";
 
 /** What served calls share. */
 export interface ServingParts {
@@ -34,6 +44,7 @@
     readonly admission: Admission;
     readonly ledger: Ledger;
     readonly shedder: Shedder;
+    readonly quarantine: Quarantine;
     readonly upstream: Dispatch;
     readonly isDraining: () => boolean;
 }
@@ -46,6 +57,8 @@
     readonly path: string;
     readonly rawHeaders: readonly string[];
     readonly body: RequestBody;
+    /** How often the request may be run, as far as its route says. */
+    readonly kind: SuspectKind;
     /** Whether the answer goes to another node, which gets the figures for its decisions. */
     readonly forPeer: boolean;
     readonly sink: AnswerSink;
@@ -87,6 +100,10 @@
             this.refuseWith(createShedProblem(this.order.match, this.parts.shedder));
             return;
         }
+        if (this.isQuarantined()) {
+            this.refuseWith(quarantinedProblem);
+            return;
+        }
         this.deadline = this.parts.wheel.add(remainingMs, () => this.expire());
         this.withdraw = this.parts.admission.apply(this);
     }
@@ -141,6 +158,7 @@
     }
 
     finish(result: AttemptResult): void {
+        this.recordSurvival(result);
         if (result.kind === "answered") {
             const outcome = this.outcome!;
             this.parts.admission.release(this.importance, slotResultByOutcome[outcome]);
@@ -161,6 +179,37 @@
         this.refuseWith(describeBreak(result.cause, outcome));
     }
 
+    private isQuarantined(): boolean {
+        const { quarantine } = this.parts;
+        return !quarantine.isEmpty() && quarantine.isRefused(this.computeFingerprint(), this.order.kind);
+    }
+
+    /** Tells whether the upstream lived through the request; a streamed body can't be recognized again. */
+    private recordSurvival(result: AttemptResult): void {
+        const { quarantine } = this.parts;
+        const { body } = this.order;
+        if (body !== undefined && !Buffer.isBuffer(body)) {
+            return;
+        }
+        if (result.kind === "broken" && result.cause === "connection") {
+            quarantine.recordDeath(this.computeFingerprint());
+            return;
+        }
+        if (result.kind === "answered" && !quarantine.isEmpty()) {
+            quarantine.recordAnswer(this.computeFingerprint());
+        }
+    }
+
+    private computeFingerprint(): string {
+        const { call, method, path, body } = this.order;
+        return computeSuspectFingerprint({
+            caller: call.caller,
+            method,
+            path,
+            body: Buffer.isBuffer(body) ? body : undefined,
+        });
+    }
+
     private expire(): void {
         if (this.attempt) {
             this.attempt.abort("timeout");
--- a/src/tasks/messages.ts
+++ b/src/tasks/messages.ts
@@ -19,6 +19,10 @@
     | { readonly kind: "instancesRead"; readonly instances: readonly Instance[]; readonly revision: number; }
     | { readonly kind: "platformReached"; readonly reached: boolean; readonly detail: string; }
     | { readonly kind: "lifecycleChanged"; readonly phase: LifecyclePhase; }
+    /** The local upstream died during a request. */
+    | { readonly kind: "suspectFound"; readonly fingerprint: string; }
+    /** Another node reports that its upstream died during a request. */
+    | { readonly kind: "suspectReported"; readonly fingerprint: string; readonly endpoint: string; }
     | { readonly kind: "audited"; readonly audit: AuditEvent; };
 
 type MessageOf<Kind extends Message["kind"]> = Extract<Message, { readonly kind: Kind; }>;
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -17,6 +17,7 @@
 import { MessageBus } from "./messages";
 import { NodeMetrics } from "./metrics";
 import { PolicyTask } from "./policy";
+import { Quarantine } from "./quarantine";
 import { Shedder } from "./shedder";
 
 /** Where the core reaches its surroundings. */
@@ -41,6 +42,7 @@
     readonly keyRecords: KeyRecords;
     readonly admission: Admission;
     readonly shedder: Shedder;
+    readonly quarantine: Quarantine;
     readonly metrics: NodeMetrics;
     readonly audit: AuditTrail;
     readonly forwarder: Forwarder;
@@ -60,6 +62,7 @@
         this.directory = new Directory(clock);
         this.keyRecords = new KeyRecords(clock);
         this.admission = new Admission(this.wheel, clock.readMonotonicMs);
+        this.quarantine = new Quarantine(endpoint, clock, this.bus);
         this.shedder = new Shedder(clock.readMonotonicMs);
         this.audit = new AuditTrail(this.bus, endpoint, clock.readWallMs, connections.writeAudit);
         this.metrics = new NodeMetrics(() => ({
@@ -68,7 +71,8 @@
             policyVersion: this.policy.inForce?.version ?? 0,
             shares: this.shedder.listShares(),
         }));
-        const { wheel, directory, ledger, metrics, policy, admission, keyRecords, shedder, sampleRandom } = this;
+        const { wheel, directory, ledger, metrics, policy, admission, keyRecords, shedder, quarantine, sampleRandom } =
+            this;
         this.forwarder = new Forwarder({
             clock,
             wheel,
@@ -83,7 +87,16 @@
         const isDraining = (): boolean => this.lifecycle.isDraining();
         const { createId } = connections;
         const shared = { settings, clock, wheel, policy, ledger, forwarder, createId };
-        this.ingress = new Ingress({ ...shared, admission, keyRecords, shedder, metrics, upstream, isDraining });
+        this.ingress = new Ingress({
+            ...shared,
+            admission,
+            keyRecords,
+            shedder,
+            quarantine,
+            metrics,
+            upstream,
+            isDraining,
+        });
         this.egress = new Egress(shared);
         this.subscribe();
     }
--- /dev/null
+++ b/src/tasks/quarantine/index.ts
@@ -0,0 +1,70 @@
+/** Poison requests: those during which upstreams died, and which are sent again. */
+import { LRUCache } from "lru-cache";
+import { createHash } from "node:crypto";
+import { maxSuspects } from "../../constants";
+import { isQuarantined, recordDeath, type SuspectKind, type SuspectRecord } from "../../decisions/judgeSuspect";
+import { type Clock } from "../_lib/clock";
+import { type MessageBus } from "../messages";
+
+/** What tells a request from others. */
+export interface SuspectRequest {
+    readonly caller: string;
+    readonly method: string;
+    readonly path: string;
+    readonly body: Buffer | undefined;
+}
+
+/** Computes the fingerprint of a request; another caller's request never has the same one. */
+export const computeSuspectFingerprint = (request: SuspectRequest): string =>
+    createHash("sha256")
+        .update(`${request.caller}\n${request.method}\n${request.path}\n`)
+        .update(request.body ?? "")
+        .digest("base64url");
+
+const noDeaths: SuspectRecord = { deaths: [] };
+const shownFingerprintCharacters = 8;
+
+/** Owns the fingerprints of requests during which upstreams died; bounded in number and in time. */
+export class Quarantine {
+    private readonly records = new LRUCache<string, SuspectRecord>({ max: maxSuspects });
+
+    constructor(private readonly endpoint: string, private readonly clock: Clock, private readonly bus: MessageBus) {
+        bus.subscribe("suspectReported", ({ fingerprint, endpoint: reporter }) => this.addDeath(fingerprint, reporter));
+    }
+
+    /** Whether nothing is under suspicion, so that no fingerprint has to be computed. */
+    isEmpty(): boolean {
+        return this.records.size === 0;
+    }
+
+    /** Whether a request is refused. */
+    isRefused(fingerprint: string, kind: SuspectKind): boolean {
+        const record = this.records.get(fingerprint);
+        return record !== undefined && isQuarantined(record, kind, this.clock.readMonotonicMs());
+    }
+
+    /** Records that the local upstream died during a request, and has other nodes told. */
+    recordDeath(fingerprint: string): void {
+        this.addDeath(fingerprint, this.endpoint);
+        this.bus.publish({ kind: "suspectFound", fingerprint });
+    }
+
+    /** Clears a request that an upstream has answered: a poison request never gets that far. */
+    recordAnswer(fingerprint: string): void {
+        this.records.delete(fingerprint);
+    }
+
+    private addDeath(fingerprint: string, endpoint: string): void {
+        const before = this.records.get(fingerprint) ?? noDeaths;
+        const after = recordDeath(before, { endpoint, atMs: this.clock.readMonotonicMs() });
+        this.records.set(fingerprint, after);
+        if (after.deaths.length > before.deaths.length) {
+            const fields = {
+                fingerprint: fingerprint.slice(0, shownFingerprintCharacters),
+                at: endpoint,
+                deaths: after.deaths.length,
+            };
+            this.bus.publish({ kind: "audited", audit: { event: "request-suspected", fields } });
+        }
+    }
+}
