--- /dev/null
+++ b/src/tasks/egress/test.ts
@@ -0,0 +1,118 @@
+import { type IncomingMessage } from "node:http";
+import { Agent, request } from "undici";
+import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
+import { awaitCondition, TestGraph, type UpstreamHandler } from "../../testing/startTestGraph";
+
+const createGraphPolicy = () =>
+    createPolicy({
+        services: {
+            desk: createServicePolicy({ endpoints: [{ name: "desk-a", failureDomain: "zone-a" }], slots: 40 }),
+            store: createServicePolicy({
+                slots: 40,
+                endpoints: [
+                    { name: "store-a", failureDomain: "zone-a" },
+                    { name: "store-b", failureDomain: "zone-b" },
+                ],
+            }),
+        },
+    });
+
+describe("egress over real connections", () => {
+    let graph: TestGraph | undefined;
+    let agent: Agent;
+    let seen: { readonly endpoint: string; readonly headers: IncomingMessage["headers"]; }[];
+
+    beforeEach(() => {
+        agent = new Agent();
+        seen = [];
+    });
+
+    afterEach(async () => {
+        await agent.destroy();
+        await graph?.stop();
+        graph = undefined;
+    });
+
+    const recordAndAnswer = (endpoint: string): UpstreamHandler => (incoming, response) => {
+        seen.push({ endpoint, headers: incoming.headers });
+        response.end(endpoint);
+    };
+
+    const start = async (deskHandler: UpstreamHandler): Promise<TestGraph> => {
+        graph = await new TestGraph({
+            policy: createGraphPolicy(),
+            upstreams: { desk: () => deskHandler, store: recordAndAnswer },
+        }).start();
+        return graph;
+    };
+
+    it("takes a call by Host header and by absolute URL, and prefers its own failure domain", async () => {
+        const { egress } = (await start((incoming, response) => response.end())).getNode("desk-a");
+        const byHost = await request(`${egress}/items/1`, { dispatcher: agent, headers: { host: "store" } });
+        expect(await byHost.body.text()).toBe("store-a");
+        const byUrl = await agent.request({ origin: egress, path: "http://store/items/1?x=2", method: "GET" });
+        expect(await byUrl.body.text()).toBe("store-a");
+    });
+
+    it.each([
+        ["nowhere", "/items/1", "urn:pomelovalve:unknown-service"],
+        ["store", "/unknown", "urn:pomelovalve:unknown-route"],
+    ])("refuses a call to %s%s as %s", async (service, path, type) => {
+        const { egress } = (await start((incoming, response) => response.end())).getNode("desk-a");
+        const answer = await request(`${egress}${path}`, { dispatcher: agent, headers: { host: service } });
+        expect(await answer.body.json()).toMatchObject({ type, outcome: "not-run" });
+    });
+
+    it("carries action, deadline and caller through a call within an action", async () => {
+        const running = await start((incoming, response) => {
+            const headers = {
+                host: "store",
+                "pomelovalve-call": incoming.headers["pomelovalve-call"] as string,
+                "pomelovalve-action": incoming.headers["pomelovalve-action"] as string,
+            };
+            void request(`${running.getNode("desk-a").egress}/items/1`, { dispatcher: agent, headers })
+                .then(async answer => response.end(await answer.body.text()));
+        });
+        const answer = await request(`${running.getNode("desk-a").callers}/items/1`, {
+            dispatcher: agent,
+            headers: { "pomelovalve-deadline": "400" },
+        });
+        expect(await answer.body.text()).toBe("store-a");
+        const [call] = seen;
+        expect(call!.headers["pomelovalve-action"]).toBe(answer.headers["pomelovalve-action"]);
+        expect(Number(call!.headers["pomelovalve-deadline"])).toBeLessThanOrEqual(400);
+        expect(call!.headers["pomelovalve-retries"]).toBeUndefined();
+    });
+
+    it("tries another instance when the first refuses the connection", async () => {
+        const running = await start((incoming, response) => {
+            const headers = { host: "store", "pomelovalve-call": incoming.headers["pomelovalve-call"] as string };
+            void request(`${running.getNode("desk-a").egress}/items/1`, { dispatcher: agent, headers })
+                .then(async answer => response.end(await answer.body.text()));
+        });
+        await running.getNode("store-a").node.drain();
+        const answer = await request(`${running.getNode("desk-a").callers}/items/1`, { dispatcher: agent });
+        expect(await answer.body.text()).toBe("store-b");
+    });
+
+    it("serves on when the platform goes down, and starts without it", async () => {
+        const running = await start((incoming, response) => response.end("served"));
+        running.platform.updateMode({ down: true });
+        const { callers, node } = running.getNode("desk-a");
+        await awaitCondition(() => !node.readStatus().platformReached, "platform lost");
+        const answer = await request(`${callers}/items/1`, { dispatcher: agent });
+        expect(await answer.body.text()).toBe("served");
+
+        const fresh = await running.startNode("desk", "desk-b", "zone-b");
+        const refused = await request(`${fresh.callers}/items/1`, { dispatcher: agent });
+        expect(await refused.body.json()).toMatchObject({ type: "urn:pomelovalve:no-policy", status: 503 });
+        const ready = await request(`${fresh.control}/readyz`, { dispatcher: agent });
+        expect(ready.statusCode).toBe(503);
+        await ready.body.dump();
+
+        running.platform.updateMode({ down: false });
+        await awaitCondition(() => fresh.node.readStatus().policyVersion === 1, "policy read after the outage");
+        const served = await request(`${fresh.callers}/items/1`, { dispatcher: agent });
+        expect(await served.body.text()).toBe("served");
+    });
+});
