Tell other nodes of poison requests and of leaving

Cause: each node learned alone: a poison request killed two upstreams at every instance it was sent to, and a leaving instance was noticed only by a refused call. Ruled out: notices to all 1,600 nodes (no all-to-all traffic); gossip (a service has 8 endpoints on average). Change: notices over tRPC, of suspects to the nodes of the same service, of leaving to the nodes that called within the last minute; bounded in number, and lost in a partition without harm. Measured: sessions on a virtual clock: a poison request sent ten times in turn to two failure domains kills 2 upstreams, 4 while the domains are cut off; requests under way at every crash stay whole.

--- a/src/tasks/control/router.ts
+++ b/src/tasks/control/router.ts
@@ -33,10 +33,26 @@
     readonly binaryVersion: string;
 }
 
-/** What the router reads. */
+const endpointName = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/u);
+
+/** Shape of a notice from another node. */
+export const noticeSchema = z.discriminatedUnion("kind", [
+    z.strictObject({ kind: z.literal("leaving"), endpoint: endpointName }),
+    z.strictObject({
+        kind: z.literal("suspect"),
+        endpoint: endpointName,
+        fingerprint: z.string().regex(/^[\w-]{43}$/u),
+    }),
+]);
+
+/** A notice from another node. */
+export type Notice = Readonly<z.infer<typeof noticeSchema>>;
+
+/** What the router reads, and to whom it passes notices. */
 export interface ControlSource {
     readStatus(): NodeStatus;
     listAudit(afterSequence: number): readonly AuditEntry[];
+    receiveNotice(notice: Notice): void;
 }
 
 const { router, procedure } = initTRPC.create();
@@ -48,6 +64,7 @@
         audit: procedure.input(z.strictObject({ after: z.int().min(0) })).query(({ input }) =>
             source.listAudit(input.after)
         ),
+        notice: procedure.input(noticeSchema).mutation(({ input }) => source.receiveNotice(input)),
     });
 
 /** Type of the router, for clients. */
--- a/src/tasks/directory/index.ts
+++ b/src/tasks/directory/index.ts
@@ -1,4 +1,5 @@
 /** What a node knows of the instances that it may call. */
+import { callerMemoryMs } from "../../constants";
 import { type Candidate } from "../../decisions/chooseInstance";
 import { type Instance } from "../../types";
 import { type Clock } from "../_lib/clock";
@@ -22,6 +23,7 @@
     private instancesByService = new Map<string, Instance[]>();
     private readonly instancesByEndpoint = new Map<string, Instance>();
     private readonly evidence = new Map<string, Evidence>();
+    private readonly callerSeenAtMs = new Map<string, number>();
 
     constructor(private readonly clock: Clock) {}
 
@@ -35,6 +37,9 @@
             this.instancesByService.set(instance.service, list);
             this.instancesByEndpoint.set(instance.endpoint, instance);
         });
+        [...this.callerSeenAtMs.keys()]
+            .filter(endpoint => !this.instancesByEndpoint.has(endpoint))
+            .forEach(endpoint => this.callerSeenAtMs.delete(endpoint));
         [...this.evidence.keys()]
             .filter(endpoint => !this.instancesByEndpoint.has(endpoint) && this.getEvidence(endpoint).outstanding === 0)
             .forEach(endpoint => this.evidence.delete(endpoint));
@@ -81,6 +86,25 @@
         });
     }
 
+    /** Records that an instance has told of its leaving. */
+    recordLeaving(endpoint: string): void {
+        const leavingUntilMs = this.clock.readMonotonicMs() + leavingValidityMs;
+        this.evidence.set(endpoint, { ...this.getEvidence(endpoint), leavingUntilMs });
+    }
+
+    /** Records that the node of an instance has called this one. */
+    recordCaller(endpoint: string): void {
+        this.callerSeenAtMs.set(endpoint, this.clock.readMonotonicMs());
+    }
+
+    /** Lists the instances whose nodes have called this one lately. */
+    listCallers(): readonly Instance[] {
+        const horizonMs = this.clock.readMonotonicMs() - callerMemoryMs;
+        return this.listInstances().filter(({ endpoint }) =>
+            (this.callerSeenAtMs.get(endpoint) ?? -Infinity) > horizonMs
+        );
+    }
+
     /** Records that an instance did not accept a connection. */
     recordUnreachable(endpoint: string): void {
         const suspectedUntilMs = this.clock.readMonotonicMs() + suspicionMs;
--- a/src/tasks/forwarder/exchange.ts
+++ b/src/tasks/forwarder/exchange.ts
@@ -11,6 +11,7 @@
     depthHeader,
     findHeader,
     importanceHeader,
+    nodeHeader,
     noHeaders,
     outcomeHeader,
     retriesHeader,
@@ -51,6 +52,8 @@
 export interface AttemptTerms {
     readonly remainingMs: number;
     readonly retries: number;
+    /** Endpoint of the node that forwards. */
+    readonly node: string;
 }
 
 /** Creates the headers of a request to another node. */
@@ -66,6 +69,8 @@
     order.importance,
     deadlineHeader,
     String(Math.floor(terms.remainingMs)),
+    nodeHeader,
+    terms.node,
     retriesHeader,
     String(terms.retries),
     depthHeader,
--- a/src/tasks/forwarder/forwardedCall.ts
+++ b/src/tasks/forwarder/forwardedCall.ts
@@ -174,6 +174,7 @@
                 rawHeaders: createRequestHeaders(this.order, {
                     remainingMs: this.computeRemainingMs(),
                     retries: this.granted,
+                    node: this.parts.endpoint,
                 }),
                 body,
             },
--- a/src/tasks/forwarder/index.ts
+++ b/src/tasks/forwarder/index.ts
@@ -25,6 +25,8 @@
     readonly metrics: NodeMetrics;
     readonly peers: PeerPools;
     readonly failureDomain: string;
+    /** Endpoint of this node. */
+    readonly endpoint: string;
     /** Draws a number in [0, 1). */
     readonly sampleRandom: () => number;
 }
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -6,11 +6,12 @@
 import { type Dispatch } from "../_lib/attempt";
 import { type CallRequest, findRequestHeader } from "../_lib/callRequest";
 import { type Clock } from "../_lib/clock";
-import { actionHeader, leavingHeader, requestHeadersSetAnew, stripHeaders } from "../_lib/headers";
+import { actionHeader, leavingHeader, nodeHeader, requestHeadersSetAnew, stripHeaders } from "../_lib/headers";
 import { type Problem, sendProblem } from "../_lib/problem";
 import { type RequestBody } from "../_lib/readBody";
 import { type TimerWheel } from "../_lib/timerWheel";
 import { type Admission } from "../admission";
+import { type Directory } from "../directory";
 import { type Forwarder } from "../forwarder";
 import { type KeyRecords } from "../keyRecords";
 import { type Ledger } from "../ledger";
@@ -35,6 +36,7 @@
     readonly quarantine: Quarantine;
     readonly keyRecords: KeyRecords;
     readonly forwarder: Forwarder;
+    readonly directory: Directory;
     readonly metrics: NodeMetrics;
     /** Connections to the local upstream. */
     readonly upstream: Dispatch;
@@ -57,6 +59,10 @@
 
     /** Handles a request; its answer goes to the request's sink. */
     handle(request: CallRequest, origin: Origin): void {
+        const node = origin === "peer" ? findRequestHeader(request, nodeHeader) : undefined;
+        if (node !== undefined) {
+            this.parts.directory.recordCaller(node);
+        }
         this.parts.metrics.countAccepted();
         this.callCount += 1;
         const matched = matchRequest(request, origin, this.callCount, this.parts);
--- a/src/tasks/messages.ts
+++ b/src/tasks/messages.ts
@@ -23,6 +23,8 @@
     | { readonly kind: "suspectFound"; readonly fingerprint: string; }
     /** Another node reports that its upstream died during a request. */
     | { readonly kind: "suspectReported"; readonly fingerprint: string; readonly endpoint: string; }
+    /** Another node reports that it takes no new work. */
+    | { readonly kind: "leavingReported"; readonly endpoint: string; }
     | { readonly kind: "audited"; readonly audit: AuditEvent; };
 
 type MessageOf<Kind extends Message["kind"]> = Extract<Message, { readonly kind: Kind; }>;
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -11,6 +11,7 @@
 import { HttpPeerPools } from "./forwarder/peerPools";
 import { Listeners } from "./listeners";
 import { NodeCore } from "./nodeCore";
+import { TrpcNoticeSender } from "./notices";
 import { HttpPlatform, PlatformTask } from "./platform";
 
 const drainPollMs = 20;
@@ -37,6 +38,7 @@
         this.core = new NodeCore(settings, {
             upstream,
             peers,
+            notices: new TrpcNoticeSender(),
             clock,
             seed,
             createId: () => v7(),
@@ -50,6 +52,7 @@
             isReady: () => lifecycle.phase === "serving" && policy.inForce !== undefined,
             readStatus: () => this.readStatus(),
             listAudit: after => audit.list(after),
+            receiveNotice: notice => this.core.receiveNotice(notice),
         });
         bus.subscribe("platformReached", message => {
             const event = message.reached ? "platform-reached" : "platform-lost";
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -6,7 +6,7 @@
 import { TimerWheel } from "./_lib/timerWheel";
 import { Admission } from "./admission";
 import { type AuditEntry, AuditTrail } from "./audit";
-import { type NodeStatus } from "./control/router";
+import { type NodeStatus, type Notice } from "./control/router";
 import { Directory } from "./directory";
 import { Egress } from "./egress";
 import { Forwarder, type PeerPools } from "./forwarder";
@@ -16,6 +16,7 @@
 import { Lifecycle } from "./lifecycle";
 import { MessageBus } from "./messages";
 import { NodeMetrics } from "./metrics";
+import { Notices, type NoticeSender } from "./notices";
 import { PolicyTask } from "./policy";
 import { Quarantine } from "./quarantine";
 import { Shedder } from "./shedder";
@@ -24,6 +25,7 @@
 export interface CoreConnections {
     readonly upstream: Dispatch;
     readonly peers: PeerPools;
+    readonly notices: NoticeSender;
     readonly clock: Clock;
     readonly seed: number;
     /** Mints a UUID of version 7. */
@@ -80,13 +82,14 @@
             ledger,
             metrics,
             failureDomain,
+            endpoint,
             sampleRandom,
             peers,
         });
         const { forwarder } = this;
         const isDraining = (): boolean => this.lifecycle.isDraining();
         const { createId } = connections;
-        const shared = { settings, clock, wheel, policy, ledger, forwarder, createId };
+        const shared = { settings, clock, wheel, policy, ledger, forwarder, directory, createId };
         this.ingress = new Ingress({
             ...shared,
             admission,
@@ -98,9 +101,23 @@
             isDraining,
         });
         this.egress = new Egress(shared);
+        new Notices(settings, directory, connections.notices, this.bus);
         this.subscribe();
     }
 
+    /** Takes a notice from another node; one that claims to come from this node is ignored. */
+    receiveNotice(notice: Notice): void {
+        const { endpoint } = notice;
+        if (endpoint === this.settings.endpoint) {
+            return;
+        }
+        this.bus.publish(
+            notice.kind === "leaving"
+                ? { kind: "leavingReported", endpoint }
+                : { kind: "suspectReported", endpoint, fingerprint: notice.fingerprint },
+        );
+    }
+
     /** Reads what the node tells operators of itself. */
     readStatus(): NodeStatus {
         const { endpoint, service, failureDomain, region } = this.settings;
--- a/src/testing/createTwoServiceGraph.ts
+++ b/src/testing/createTwoServiceGraph.ts
@@ -55,7 +55,7 @@
     readonly runs: readonly UpstreamRun[];
     readonly createId: () => string;
     /** Sends a request from outside; its answer, once there is one, is in the returned list. */
-    readonly send: (endpoint: string, method: string, key?: string) => readonly ReceivedAnswer[];
+    readonly send: (endpoint: string, method: string, key?: string, path?: string) => readonly ReceivedAnswer[];
 }
 
 /** Creates the graph and lets its nodes grow older than the margin between clocks. */
@@ -69,11 +69,15 @@
         seed,
         recordRun: run => runs.push(run),
     });
-    const send = (endpoint: string, method: string, key?: string): readonly ReceivedAnswer[] => {
+    const send = (
+        endpoint: string,
+        method: string,
+        key?: string,
+        path = method === "GET" ? "/items/1" : "/bookings",
+    ): readonly ReceivedAnswer[] => {
         const answers: ReceivedAnswer[] = [];
         const sink = new CollectingSink(answer => answers.push(answer));
         const headers = key === undefined ? [] : ["idempotency-key", key];
-        const path = method === "GET" ? "/items/1" : "/bookings";
         graph.send(endpoint, new FakeCallRequest(method, path, headers, undefined, sink));
         return answers;
     };
--- a/src/testing/fakeUpstream.ts
+++ b/src/testing/fakeUpstream.ts
@@ -34,6 +34,7 @@
 }
 
 const passedHeaders = ["pomelovalve-action", "pomelovalve-call"];
+const restartMs = 500;
 const maxSampledShare = 4;
 
 /** Owns the slots and the queue. */
@@ -43,6 +44,10 @@
     private running = 0;
     private workFactor = 1;
     private refuseAbove = Infinity;
+    private crashPath: string | undefined;
+    private crashCount = 0;
+    private down = false;
+    private readonly open = new Set<Job>();
 
     constructor(private readonly clock: VirtualClock, private readonly options: FakeUpstreamOptions) {
         this.sampleRandom = createRandom(options.seed);
@@ -58,6 +63,21 @@
         this.refuseAbove = maxQueued;
     }
 
+    /** Makes the upstream crash whenever it runs a request with this path. */
+    updateCrashPath(path: string | undefined): void {
+        this.crashPath = path;
+    }
+
+    /** How often the upstream has crashed. */
+    get crashes(): number {
+        return this.crashCount;
+    }
+
+    /** Whether the upstream is restarting after a crash. */
+    isDown(): boolean {
+        return this.down;
+    }
+
     /** Handles a request of the node beside it. */
     handle(request: FakeCallRequest): void {
         const route = this.options.routes.find(candidate =>
@@ -91,6 +111,7 @@
 
     private run(job: Job): void {
         this.running += 1;
+        this.open.add(job);
         this.options.recordRun({
             endpoint: this.options.endpoint,
             atMs: this.clock.readMonotonicMs(),
@@ -98,6 +119,10 @@
             key: findRequestHeader(job.request, "idempotency-key"),
             route: job.route,
         });
+        if (job.request.url === this.crashPath) {
+            this.abortAll();
+            return;
+        }
         const sampled = 0.5 - Math.log(1 - this.sampleRandom()) / 2;
         const workMs = job.route.workMs * this.workFactor * Math.min(maxSampledShare, sampled);
         this.clock.schedule(workMs, () => this.callChildren(job));
@@ -131,7 +156,26 @@
         children.forEach(({ child, request }) => this.options.callChild(child.service, request));
     }
 
+    /** Breaks off everything under way and comes back empty after a while. */
+    private abortAll(): void {
+        this.crashCount += 1;
+        this.down = true;
+        [...this.open, ...this.queue].forEach(job => {
+            job.state.cancelled = true;
+            job.request.sink.abort();
+        });
+        this.open.clear();
+        this.queue.length = 0;
+        this.running = 0;
+        this.clock.schedule(restartMs, () => {
+            this.down = false;
+        });
+    }
+
     private finish(job: Job, failed: boolean): void {
+        if (!this.open.delete(job)) {
+            return;
+        }
         this.running -= 1;
         if (!job.state.cancelled) {
             sendAnswer(job.request, failed ? 502 : 200);
--- a/src/testing/virtualGraph.ts
+++ b/src/testing/virtualGraph.ts
@@ -4,6 +4,7 @@
 import { type Settings } from "../settings/types";
 import { type UpstreamRoute } from "../standins/types";
 import { type AuditEntry } from "../tasks/audit";
+import { type Notice } from "../tasks/control/router";
 import { NodeCore } from "../tasks/nodeCore";
 import { type Address, type Instance } from "../types";
 import { createIdSource } from "./createIdSource";
@@ -153,11 +154,16 @@
             callChild: (target, request) => this.getEndpoint(name).core.egress.handle(request),
             recordRun: options.recordRun ?? (() => undefined),
         });
-        const localLink: LinkState = { latencyMs: localLatencyMs, cut: false, refused: false };
+        const readLocalLink = (): LinkState => ({
+            latencyMs: localLatencyMs,
+            cut: false,
+            refused: upstream.isDown(),
+        });
         const core = new NodeCore(settings, {
             clock,
             seed: options.seed * 2_000 + index,
-            upstream: new FakeDispatch(clock, () => localLink, request => upstream.handle(request)),
+            upstream: new FakeDispatch(clock, readLocalLink, request => upstream.handle(request)),
+            notices: { send: (address, notice) => this.sendNotice(failureDomain, address, notice) },
             peers: { open: address => this.openPeer(failureDomain, address), closeUnused: () => undefined },
             createId: createIdSource(clock, options.seed * 3_000 + index),
             writeAudit: options.recordAudit ?? (() => undefined),
@@ -166,6 +172,17 @@
         const added: VirtualEndpoint = { settings, core, upstream };
         this.endpoints.set(name, added);
         this.endpointByPort.set(settings.listen.peers.port, added);
+        this.endpointByPort.set(settings.listen.control.port, added);
+    }
+
+    /** Delivers a notice unless the link is cut; the sender never learns. */
+    private sendNotice(fromDomain: string, address: Address, notice: Notice): Promise<boolean> {
+        const target = this.endpointByPort.get(address.port)!;
+        const isCut = this.cutPairs.has(`${fromDomain} ${target.settings.failureDomain}`);
+        if (!isCut && !this.refusing.has(target.settings.endpoint)) {
+            this.clock.schedule(peerLatencyMs, () => target.core.receiveNotice(notice));
+        }
+        return Promise.resolve(!isCut);
     }
 
     private openPeer(fromDomain: string, address: Address): FakeDispatch {
