Compare versions between nodes, so that a new node does not revert the policy

Cause: a node that started while the platform was stale took the stale version, and one that could not read the platform had none at all. Ruled out: refusing to serve until the platform is confirmed; asking a majority (docs/decisions/policy-versions.md). Change: tRPC queries for version and log; each node compares with one other every 3 s, and ten times as often until confirmed; status shows unconfirmed. Critical requests tolerate more refusals below before the entry sheds them, so that no slot at the bottleneck is left to look-ups. CAI experiments added.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -31,7 +31,7 @@
 program
     .command("virtual", "Run the experiments on the decisions on a virtual clock")
     .option("--seed <number>", "Seed of the load", { default: 1 })
-    .option("--small", "Only the experiment with few slots")
+    .option("--graph <name>", "Only one graph: ertis-small, ertis or cai")
     .option("--only <control>", "Only one kind of control: none, fixed or pomelovalve")
     .option("--out <folder>", "Folder for the results", { default: `${distFolder}/virtual` })
     .example("node dist/bench.cjs virtual --seed 2")
@@ -40,12 +40,12 @@
             readonly seed: number;
             readonly out: string;
             readonly only?: ControlKind;
-            readonly small?: boolean;
+            readonly graph?: string;
         },
     ) => runVirtual({
         outFolder: options.out,
         seed: options.seed,
-        small: options.small === true,
+        graph: options.graph,
         controls: options.only === undefined ? undefined : [options.only],
     }));
 
--- /dev/null
+++ b/bench/scenarios/cai.ts
@@ -0,0 +1,65 @@
+/** The CAI call graph with the sizes of the brief. */
+import caiPolicy from "../../examples/cai/policy.json";
+import { checkPolicy } from "../../src/policy/checkPolicy";
+import { type Policy } from "../../src/policy/types";
+import { type EntryClass, type UpstreamRoutes } from "./ertis";
+
+/** Loads the example's policy. */
+export const loadCaiPolicy = (): Policy => {
+    const checked = checkPolicy(caiPolicy);
+    if (!checked.ok) {
+        throw new Error(`the example's policy has faults: ${JSON.stringify(checked.faults)}`);
+    }
+    return checked.value;
+};
+
+/** What the upstreams of CAI do for each route. */
+export const caiRoutes: UpstreamRoutes = {
+    "netlist-store": [
+        {
+            method: "GET",
+            pathPrefix: "/netlists/",
+            workMs: 20,
+            idempotent: true,
+            children: [{ service: "model-library", method: "GET", path: "/models/3" }],
+        },
+    ],
+    "model-library": [
+        { method: "GET", pathPrefix: "/models/", workMs: 20, idempotent: true, children: [] },
+        { method: "GET", pathPrefix: "/parameters/", workMs: 15, idempotent: true, children: [] },
+    ],
+    "sweep-broker": [
+        {
+            method: "POST",
+            pathPrefix: "/sweeps",
+            workMs: 60,
+            idempotent: false,
+            children: [
+                { service: "netlist-store", method: "GET", path: "/netlists/1" },
+                { service: "model-library", method: "GET", path: "/parameters/1" },
+            ],
+        },
+        { method: "GET", pathPrefix: "/waveforms/", workMs: 30, idempotent: true, children: [] },
+    ],
+    "signoff-ledger": [
+        {
+            method: "POST",
+            pathPrefix: "/sign-offs",
+            workMs: 80,
+            idempotent: false,
+            children: [
+                { service: "sweep-broker", method: "GET", path: "/waveforms/1" },
+                { service: "model-library", method: "GET", path: "/models/1" },
+            ],
+        },
+        { method: "GET", pathPrefix: "/sign-offs/", workMs: 40, idempotent: true, children: [] },
+    ],
+};
+
+/** What callers of CAI do, at a total rate of 1; rates are multiplied by the experiment. */
+export const caiClasses: readonly EntryClass[] = [
+    { name: "sign-off", entry: "signoff-ledger", method: "POST", path: "/sign-offs", ratePerSecond: 0.2, keyed: true },
+    { name: "sweep", entry: "sweep-broker", method: "POST", path: "/sweeps", ratePerSecond: 0.2, keyed: true },
+    { name: "record", entry: "signoff-ledger", method: "GET", path: "/sign-offs/1", ratePerSecond: 0.2, keyed: false },
+    { name: "netlist", entry: "netlist-store", method: "GET", path: "/netlists/1", ratePerSecond: 0.4, keyed: false },
+];
--- a/bench/scenarios/ertis.ts
+++ b/bench/scenarios/ertis.ts
@@ -7,6 +7,9 @@
 /** What a call graph's upstreams do. */
 export type UpstreamRoutes = Readonly<Record<string, readonly UpstreamRoute[]>>;
 
+/** A kind of action, with the service at which it enters. */
+export type EntryClass = LoadClass & { readonly entry: string; };
+
 /** Loads the example's policy. */
 export const loadErtisPolicy = (): Policy => {
     const checked = checkPolicy(ertisPolicy);
@@ -69,9 +72,9 @@
 };
 
 /** What callers of Ertis do, at a total rate of 1; rates are multiplied by the scenario. */
-export const ertisClasses: readonly LoadClass[] = [
-    { name: "booking", method: "POST", path: "/bookings", ratePerSecond: 0.2, keyed: true },
-    { name: "allocation", method: "POST", path: "/fuel-orders", ratePerSecond: 0.1, keyed: true },
-    { name: "fuel look-up", method: "GET", path: "/fuel/2", ratePerSecond: 0.3, keyed: false },
-    { name: "berth look-up", method: "GET", path: "/berths/7", ratePerSecond: 0.4, keyed: false },
+export const ertisClasses: readonly EntryClass[] = [
+    { name: "booking", entry: "berthdesk", method: "POST", path: "/bookings", ratePerSecond: 0.2, keyed: true },
+    { name: "allocation", entry: "berthdesk", method: "POST", path: "/fuel-orders", ratePerSecond: 0.1, keyed: true },
+    { name: "fuel look-up", entry: "berthdesk", method: "GET", path: "/fuel/2", ratePerSecond: 0.3, keyed: false },
+    { name: "berth look-up", entry: "berthdesk", method: "GET", path: "/berths/7", ratePerSecond: 0.4, keyed: false },
 ];
--- a/bench/virtual/index.ts
+++ b/bench/virtual/index.ts
@@ -2,19 +2,49 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { renderTable } from "../../src/commands/_lib/renderTable";
 import { createDemoScenario } from "../demo/scenario";
-import { ertisClasses, ertisRoutes, loadErtisPolicy } from "../scenarios/ertis";
+import { caiClasses, caiRoutes, loadCaiPolicy } from "../scenarios/cai";
+import { type EntryClass, ertisClasses, ertisRoutes, loadErtisPolicy } from "../scenarios/ertis";
 import { runExperiment } from "./runExperiment";
 import { type ControlKind, type Experiment, type ExperimentResult, type Trigger } from "./types";
 
 const controls: readonly ControlKind[] = ["none", "fixed", "pomelovalve"];
 const ertisActionsPerSecond = 1_500;
+const caiActionsPerSecond = 1_000;
 
-const triggers: readonly Trigger[] = [
-    { name: "fuelpost 4 times slower", slow: { fuelpost: 4 }, surge: 1 },
+/** Creates the triggers of a graph: a slow service, a surge, and both at once. */
+const createTriggers = (service: string): readonly Trigger[] => [
+    { name: `${service} 4 times slower`, slow: { [service]: 4 }, surge: 1 },
     { name: "surge of 3", slow: {}, surge: 3 },
-    { name: "fuelpost 4 times slower and surge of 3", slow: { fuelpost: 4 }, surge: 3 },
+    { name: `${service} 4 times slower and surge of 3`, slow: { [service]: 4 }, surge: 3 },
 ];
 
+/** What all experiments at the sizes of the brief share. */
+const timing = {
+    attemptTimeoutMs: 1_500,
+    attempts: 4,
+    usefulMs: 2_000,
+    settledMs: 4_000,
+    triggerStartMs: 8_000,
+    triggerEndMs: 16_000,
+    durationMs: 28_000,
+} as const;
+
+const createClasses = (classes: readonly EntryClass[], actionsPerSecond: number): readonly EntryClass[] =>
+    classes.map(item => ({ ...item, ratePerSecond: item.ratePerSecond * actionsPerSecond }));
+
+/** Creates the experiments on the CAI graph. */
+export const createCaiExperiments = (seed: number): readonly Experiment[] =>
+    createTriggers("signoff-ledger").map(trigger => ({
+        ...timing,
+        graph: "cai",
+        policy: loadCaiPolicy(),
+        routes: caiRoutes,
+        classes: createClasses(caiClasses, caiActionsPerSecond),
+        bottleneck: "signoff-ledger",
+        seed,
+        trigger,
+    }));
+
 /** Creates the experiment of the demo, with few slots, so that chance matters more. */
 export const createSmallExperiment = (seed: number): Experiment => {
     const scenario = createDemoScenario(seed);
@@ -22,7 +52,6 @@
         ...scenario,
         graph: "ertis-small",
         routes: scenario.upstreamRoutes,
-        entryService: "berthdesk",
         bottleneck: scenario.triggerService,
         trigger: {
             name: `${scenario.triggerService} ${scenario.triggerFactor} times slower`,
@@ -34,24 +63,23 @@
 
 /** Creates the experiments on the Ertis graph. */
 export const createErtisExperiments = (seed: number): readonly Experiment[] =>
-    triggers.map(trigger => ({
+    createTriggers("fuelpost").map(trigger => ({
+        ...timing,
         graph: "ertis",
         policy: loadErtisPolicy(),
         routes: ertisRoutes,
-        classes: ertisClasses.map(item => ({ ...item, ratePerSecond: item.ratePerSecond * ertisActionsPerSecond })),
-        entryService: "berthdesk",
+        classes: createClasses(ertisClasses, ertisActionsPerSecond),
         bottleneck: "fuelpost",
-        attemptTimeoutMs: 1_500,
-        attempts: 4,
-        usefulMs: 2_000,
         seed,
         trigger,
-        settledMs: 4_000,
-        triggerStartMs: 8_000,
-        triggerEndMs: 16_000,
-        durationMs: 28_000,
     }));
 
+/** Creates the experiments of a graph, or all of them. */
+const listExperiments = (graph: string | undefined, seed: number): readonly Experiment[] => {
+    const all = [createSmallExperiment(seed), ...createCaiExperiments(seed), ...createErtisExperiments(seed)];
+    return graph === undefined ? all : all.filter(experiment => experiment.graph === graph);
+};
+
 const formatRate = (value: number): string => value.toFixed(0);
 
 const listRows = (experiment: Experiment, result: ExperimentResult): readonly (readonly (string | number)[])[] =>
@@ -96,18 +124,15 @@
 export interface VirtualOptions {
     readonly outFolder: string;
     readonly seed: number;
-    /** Only the experiment with few slots. */
-    readonly small: boolean;
+    /** Only the experiments of this graph: ertis-small, ertis or cai. */
+    readonly graph?: string;
     /** Only these kinds of control, or all. */
     readonly controls?: readonly ControlKind[];
 }
 
 /** Runs all experiments; prints their tables and writes them. */
 export const runVirtual = (options: VirtualOptions): void => {
-    const experiments = options.small
-        ? [createSmallExperiment(options.seed)]
-        : [createSmallExperiment(options.seed), ...createErtisExperiments(options.seed)];
-    const results = experiments.flatMap(experiment =>
+    const results = listExperiments(options.graph, options.seed).flatMap(experiment =>
         (options.controls ?? controls).map(control => {
             const result = runExperiment(experiment, control);
             process.stdout.write(`${experiment.graph}, ${experiment.trigger.name}, ${control}: done\n`);
--- a/bench/virtual/runExperiment.ts
+++ b/bench/virtual/runExperiment.ts
@@ -80,8 +80,13 @@
     const clock = new VirtualClock();
     const seen: Observations = { records: [], runs: [], started: { count: 0 }, retries: { count: 0 } };
     const target = createTarget(experiment, control, clock, seen);
-    const { policy, entryService, triggerStartMs, triggerEndMs, durationMs, trigger } = experiment;
-    const entries = policy.services[entryService]!.endpoints.map(endpoint => endpoint.name);
+    const { policy, triggerStartMs, triggerEndMs, durationMs, trigger } = experiment;
+    const entries = new Map(
+        experiment.classes.map(({ name, entry }) => [
+            name,
+            policy.services[entry]!.endpoints.map(endpoint => endpoint.name),
+        ]),
+    );
     const isTriggered = (atMs: number): boolean => atMs - leadMs >= triggerStartMs && atMs - leadMs < triggerEndMs;
     clock.runUntil(leadMs);
     planTrigger(
@@ -91,7 +96,7 @@
     new VirtualCallers(target, {
         seed: experiment.seed,
         classes: experiment.classes,
-        listEntries: () => entries,
+        listEntries: ({ name }) => entries.get(name)!,
         durationMs: leadMs + durationMs,
         attemptTimeoutMs: experiment.attemptTimeoutMs,
         attempts: experiment.attempts,
--- a/bench/virtual/types.ts
+++ b/bench/virtual/types.ts
@@ -1,7 +1,6 @@
 /** Types of experiments on a virtual clock. */
 import { type Policy } from "../../src/policy/types";
-import { type LoadClass } from "../../src/standins/types";
-import { type UpstreamRoutes } from "../scenarios/ertis";
+import { type EntryClass, type UpstreamRoutes } from "../scenarios/ertis";
 
 /** How the call graph is controlled. */
 export type ControlKind = "none" | "fixed" | "pomelovalve";
@@ -20,8 +19,7 @@
     readonly graph: string;
     readonly policy: Policy;
     readonly routes: UpstreamRoutes;
-    readonly classes: readonly LoadClass[];
-    readonly entryService: string;
+    readonly classes: readonly EntryClass[];
     readonly bottleneck: string;
     readonly attemptTimeoutMs: number;
     readonly attempts: number;
--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -40,6 +40,7 @@
 export const noticeTimeoutMs = 2_000;
 export const maxNoticesInFlight = 64;
 export const maxNoticesPending = 4_096;
+export const syncIntervalMs = 3_000;
 export const callerMemoryMs = 60_000;
 
 export const maxAuditEvents = 2_000;
--- a/src/decisions/updateAdmittedShare/index.ts
+++ b/src/decisions/updateAdmittedShare/index.ts
@@ -1,3 +1,5 @@
+import { type Importance } from "../../types";
+
 /** Share of a route's new actions that is let in, and how it has been going. */
 export interface AdmittedShare {
     readonly share: number;
@@ -16,7 +18,11 @@
 /** The share of a route that meets no refusals. */
 export const wholeShare: AdmittedShare = { share: 1, calmWindows: 0 };
 
-const tolerableRefusedShare = 0.1;
+/**
+ * Refusals below that are tolerated. More for critical requests: while some of them are still refused at the bottleneck,
+ * no slot there stays free for less important ones.
+ */
+const tolerableRefusedShare: Readonly<Record<Importance, number>> = { critical: 0.3, normal: 0.1, low: 0.1 };
 const smallestIncrease = 0.05;
 const largestIncrease = 1;
 const increaseStep = 0.01;
@@ -28,10 +34,15 @@
  * Some refusals are tolerated, so that the bottleneck never runs dry.
  * Without refusals the share grows, faster with every calm window, so that the route is soon back to normal.
  */
-export const updateAdmittedShare = (state: AdmittedShare, readings: ShareReadings): AdmittedShare => {
+export const updateAdmittedShare = (
+    state: AdmittedShare,
+    readings: ShareReadings,
+    importance: Importance,
+): AdmittedShare => {
+    const tolerable = tolerableRefusedShare[importance];
     const refusedShare = readings.answered === 0 ? 0 : readings.refusedBelow / readings.answered;
-    if (refusedShare > tolerableRefusedShare) {
-        const share = state.share * (1 - refusedShare + tolerableRefusedShare);
+    if (refusedShare > tolerable) {
+        const share = state.share * (1 - refusedShare + tolerable);
         return { share: Math.max(smallestShare, share), calmWindows: 0 };
     }
     const increase = Math.min(largestIncrease, smallestIncrease * 2 ** state.calmWindows);
--- a/src/decisions/updateAdmittedShare/test.ts
+++ b/src/decisions/updateAdmittedShare/test.ts
@@ -5,11 +5,18 @@
 const noneRefused = { answered: 100, refusedBelow: 0 };
 
 const runWindows = (start: AdmittedShare, readings: ShareReadings, windows: number): AdmittedShare =>
-    Array.from({ length: windows }).reduce<AdmittedShare>(state => updateAdmittedShare(state, readings), start);
+    Array.from({ length: windows }).reduce<AdmittedShare>(
+        state => updateAdmittedShare(state, readings, "normal"),
+        start,
+    );
 
 describe("updateAdmittedShare", () => {
     it("comes down to what passes below, and a tenth more", () => {
-        expect(updateAdmittedShare(wholeShare, { answered: 100, refusedBelow: 60 }).share).toBeCloseTo(0.5);
+        expect(updateAdmittedShare(wholeShare, { answered: 100, refusedBelow: 60 }, "normal").share).toBeCloseTo(0.5);
+    });
+
+    it("lets more critical actions in than pass below, so that less important ones find no free slot there", () => {
+        expect(updateAdmittedShare(wholeShare, { answered: 100, refusedBelow: 60 }, "critical").share).toBeCloseTo(0.7);
     });
 
     it("never falls to nothing, so that it notices when there is room again", () => {
@@ -21,7 +28,7 @@
     });
 
     it("grows slowly at first, so that a bottleneck that stays is met gently", () => {
-        expect(updateAdmittedShare({ share: 0.5, calmWindows: 0 }, noneRefused).share).toBeCloseTo(0.535);
+        expect(updateAdmittedShare({ share: 0.5, calmWindows: 0 }, noneRefused, "normal").share).toBeCloseTo(0.535);
     });
 
     it("stays between its bounds for any readings", () => {
@@ -32,7 +39,7 @@
         const state = fc.record({ share: fc.double({ min: 0.02, max: 1, noNaN: true }), calmWindows: fc.nat(5_000) });
         fc.assert(
             fc.property(state, counts, (held, readings) => {
-                const updated = updateAdmittedShare(held, readings);
+                const updated = updateAdmittedShare(held, readings, "critical");
                 expect(updated.share).toBeGreaterThanOrEqual(0.02);
                 expect(updated.share).toBeLessThanOrEqual(1);
             }),
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -37,6 +37,9 @@
         policyKey: z.string().min(1).describe("Key of the policy log."),
         instancesKey: z.string().min(1).describe("Key of the instance list."),
     }),
+    seeds: z.array(addressSchema).default([]).describe(
+        "Control listeners of other nodes to ask while no instance list can be read.",
+    ),
     callers: z.array(callerSchema).default([]).describe("Known callers; when empty, every caller is let in."),
     maxRequestBodyBytes: z.int().min(1).default(defaultMaxRequestBodyBytes).describe("Largest request body, in bytes."),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/src/tasks/control/router.ts
+++ b/src/tasks/control/router.ts
@@ -16,6 +16,8 @@
     readonly policyVersion: number;
     readonly policyDigest: string;
     readonly policySource: string;
+    /** Whether another node has told that it has no higher version. */
+    readonly policyConfirmed: boolean;
     /** Milliseconds since the version was adopted. */
     readonly policyAgeMs: number;
     readonly platformReached: boolean;
@@ -48,11 +50,21 @@
 /** A notice from another node. */
 export type Notice = Readonly<z.infer<typeof noticeSchema>>;
 
+/** Which version a node has in force; 0 for none. */
+export interface VersionReport {
+    readonly endpoint: string;
+    readonly version: number;
+    readonly digest: string;
+}
+
 /** What the router reads, and to whom it passes notices. */
 export interface ControlSource {
     readStatus(): NodeStatus;
     listAudit(afterSequence: number): readonly AuditEntry[];
     receiveNotice(notice: Notice): void;
+    readVersion(): VersionReport;
+    /** Text of the policy log, or undefined before the first one. */
+    readPolicyLog(): string | undefined;
 }
 
 const { router, procedure } = initTRPC.create();
@@ -64,6 +76,8 @@
         audit: procedure.input(z.strictObject({ after: z.int().min(0) })).query(({ input }) =>
             source.listAudit(input.after)
         ),
+        version: procedure.query(() => source.readVersion()),
+        policyLog: procedure.query(() => ({ text: source.readPolicyLog() })),
         notice: procedure.input(noticeSchema).mutation(({ input }) => source.receiveNotice(input)),
     });
 
--- a/src/tasks/egress/test.ts
+++ b/src/tasks/egress/test.ts
@@ -1,5 +1,7 @@
 import { type IncomingMessage } from "node:http";
 import { Agent, request } from "undici";
+import { createPolicyLog } from "../../policy/createPolicyLog";
+import { patchPolicyLog } from "../../policy/patchPolicyLog";
 import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
 import { awaitCondition, TestGraph, type UpstreamHandler } from "../../testing/startTestGraph";
 
@@ -17,6 +19,8 @@
         },
     });
 
+const note = { author: "test", time: "2026-01-01T00:00:00.000Z", reason: "test" };
+
 describe("egress over real connections", () => {
     let graph: TestGraph | undefined;
     let agent: Agent;
@@ -115,4 +119,24 @@
         const served = await request(`${fresh.callers}/items/1`, { dispatcher: agent });
         expect(await served.body.text()).toBe("served");
     });
+
+    it("keeps the version in force when the platform shows an older one, and tells a new node of it", async () => {
+        const running = await start((incoming, response) => response.end());
+        const first = createPolicyLog(createGraphPolicy(), note);
+        const patch = [{ op: "replace", path: "/retryLimit", value: 1 }];
+        const second = first.ok ? patchPolicyLog(first.value, 1, patch, note) : first;
+        if (!first.ok || !second.ok) {
+            throw new Error("the fixtures are not policy logs");
+        }
+        const listVersions = (): readonly number[] =>
+            [...running.nodes.values()].map(({ node }) => node.readStatus().policyVersion);
+        running.platform.writeValue("policy", JSON.stringify(second.value));
+        await awaitCondition(() => listVersions().every(version => version === 2), "version 2 in force");
+        running.platform.writeValue("policy", JSON.stringify(first.value));
+        const fresh = await running.startNode("desk", "desk-b", "zone-b");
+        await awaitCondition(() => fresh.node.readStatus().policyVersion === 2, "version 2 at the new node");
+        expect(fresh.node.readStatus().policySource).toMatch(/^peer /u);
+        await awaitCondition(() => fresh.node.readStatus().policyConfirmed, "version confirmed");
+        expect(listVersions()).toEqual([2, 2, 2, 2]);
+    });
 });
--- a/src/tasks/ingress/refusals.ts
+++ b/src/tasks/ingress/refusals.ts
@@ -56,7 +56,7 @@
 
 /** Whether a request is let in; calls within an action that is under way always are. */
 export const canBegin = (call: Call, match: RouteMatch, shedder: Shedder): boolean =>
-    call.depth > 0 || shedder.canBegin(match.route.name, call.action);
+    call.depth > 0 || shedder.canBegin(match.route.name, call.importance, call.action);
 
 /** Creates the answer to an action that would fail for lack of room deep inside. */
 export const createShedProblem = (match: RouteMatch, shedder: Shedder): Problem => {
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -148,7 +148,7 @@
         const { notRunStatuses } = this.order.match.servicePolicy;
         this.outcome = deriveOutcome({ status: head.status, stated, notRunStatuses });
         const refusedBelow = this.outcome !== "completed" && this.parts.ledger.isRefusedBelow(this.order.call.id);
-        this.parts.shedder.recordAnswer(this.order.match.route.name, refusedBelow);
+        this.parts.shedder.recordAnswer(this.order.match.route.name, this.importance, refusedBelow);
         const rawHeaders = this.createAnswerHeaders(head, this.outcome);
         if (refusedBelow && this.order.forPeer) {
             rawHeaders.push(refusedBelowHeader, "1");
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -13,6 +13,7 @@
 import { NodeCore } from "./nodeCore";
 import { TrpcNoticeSender } from "./notices";
 import { HttpPlatform, PlatformTask } from "./platform";
+import { TrpcPolicyPeer } from "./policySync";
 
 const drainPollMs = 20;
 
@@ -39,6 +40,7 @@
             upstream,
             peers,
             notices: new TrpcNoticeSender(),
+            policyPeer: new TrpcPolicyPeer(),
             clock,
             seed,
             createId: () => v7(),
@@ -52,6 +54,8 @@
             isReady: () => lifecycle.phase === "serving" && policy.inForce !== undefined,
             readStatus: () => this.readStatus(),
             listAudit: after => audit.list(after),
+            readVersion: () => this.core.readVersion(),
+            readPolicyLog: () => policy.logText,
             receiveNotice: notice => this.core.receiveNotice(notice),
         });
         bus.subscribe("platformReached", message => {
@@ -63,6 +67,7 @@
     async start(): Promise<void> {
         await Promise.all([this.listeners.start(), this.control.start()]);
         this.platform.start();
+        this.core.policySync.start();
         this.core.lifecycle.handle("started");
     }
 
@@ -79,6 +84,7 @@
         this.stopping = true;
         const { lifecycle, policy, wheel } = this.core;
         lifecycle.handle("stopRequested");
+        this.core.policySync.stop();
         const limitMs = policy.inForce?.policy.drainLimitMs ?? defaultDrainLimitMs;
         const isDrained = await this.awaitIdle(limitMs);
         lifecycle.handle(isDrained ? "drained" : "drainExpired");
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -6,7 +6,7 @@
 import { TimerWheel } from "./_lib/timerWheel";
 import { Admission } from "./admission";
 import { type AuditEntry, AuditTrail } from "./audit";
-import { type NodeStatus, type Notice } from "./control/router";
+import { type NodeStatus, type Notice, type VersionReport } from "./control/router";
 import { Directory } from "./directory";
 import { Egress } from "./egress";
 import { Forwarder, type PeerPools } from "./forwarder";
@@ -18,6 +18,7 @@
 import { NodeMetrics } from "./metrics";
 import { Notices, type NoticeSender } from "./notices";
 import { PolicyTask } from "./policy";
+import { type PolicyPeer, PolicySync } from "./policySync";
 import { Quarantine } from "./quarantine";
 import { Shedder } from "./shedder";
 
@@ -26,6 +27,7 @@
     readonly upstream: Dispatch;
     readonly peers: PeerPools;
     readonly notices: NoticeSender;
+    readonly policyPeer: PolicyPeer;
     readonly clock: Clock;
     readonly seed: number;
     /** Mints a UUID of version 7. */
@@ -50,6 +52,7 @@
     readonly forwarder: Forwarder;
     readonly ingress: Ingress;
     readonly egress: Egress;
+    readonly policySync: PolicySync;
     readonly sampleRandom: () => number;
     private readonly startedAtMs: number;
     private platformReached = false;
@@ -101,6 +104,14 @@
             isDraining,
         });
         this.egress = new Egress(shared);
+        this.policySync = new PolicySync({
+            settings,
+            directory,
+            policy,
+            peer: connections.policyPeer,
+            bus: this.bus,
+            sampleRandom,
+        });
         new Notices(settings, directory, connections.notices, this.bus);
         this.subscribe();
     }
@@ -118,6 +129,12 @@
         );
     }
 
+    /** Reads which version is in force, for other nodes. */
+    readVersion(): VersionReport {
+        const { inForce } = this.policy;
+        return { endpoint: this.settings.endpoint, version: inForce?.version ?? 0, digest: inForce?.digest ?? "" };
+    }
+
     /** Reads what the node tells operators of itself. */
     readStatus(): NodeStatus {
         const { endpoint, service, failureDomain, region } = this.settings;
@@ -133,6 +150,7 @@
             policyVersion: inForce?.version ?? 0,
             policyDigest: inForce?.digest ?? "",
             policySource: this.policy.source,
+            policyConfirmed: this.policySync.isConfirmed(),
             policyAgeMs: inForce ? clock.readWallMs() - this.policy.adoptedAt : 0,
             platformReached: this.platformReached,
             instancesKnown: this.directory.listInstances().length,
--- a/src/tasks/policy/index.ts
+++ b/src/tasks/policy/index.ts
@@ -18,6 +18,7 @@
 export class PolicyTask {
     private current: PolicyVersion | undefined;
     private currentSource = "";
+    private currentText: string | undefined;
     private adoptedAtMs = 0;
     private routers = new Map<string, ServiceRouter>();
     private readonly reported = new Set<string>();
@@ -31,6 +32,11 @@
         return this.current;
     }
 
+    /** Text of the log that the version in force was read from, for other nodes. */
+    get logText(): string | undefined {
+        return this.currentText;
+    }
+
     get source(): string {
         return this.currentSource;
     }
@@ -85,14 +91,16 @@
                 reason,
             })
         );
-        this.adoptLatest(chain.versions, source);
+        if (this.adoptLatest(chain.versions, source)) {
+            this.currentText = text;
+        }
     }
 
-    private adoptLatest(versions: readonly PolicyVersion[], source: string): void {
+    private adoptLatest(versions: readonly PolicyVersion[], source: string): boolean {
         const latest = versions[versions.length - 1]!;
         if (this.current && latest.version <= this.current.version) {
             this.recordFork(versions);
-            return;
+            return false;
         }
         const oldest = versions[0]!;
         const sameVersion = versions.find(version => version.version === this.current?.version);
@@ -100,9 +108,10 @@
             && sameVersion?.digest !== this.current.digest;
         if (isForked) {
             this.recordFork(versions);
-            return;
+            return false;
         }
         this.adopt(latest, source);
+        return true;
     }
 
     private recordFork(versions: readonly PolicyVersion[]): void {
--- a/src/tasks/shedder/index.ts
+++ b/src/tasks/shedder/index.ts
@@ -6,6 +6,7 @@
     updateAdmittedShare,
     wholeShare,
 } from "../../decisions/updateAdmittedShare";
+import { type Importance } from "../../types";
 
 interface RouteState extends AdmittedShare {
     readonly answered: number;
@@ -26,8 +27,8 @@
     constructor(private readonly readNowMs: () => number) {}
 
     /** Whether a new action of a route is let in. */
-    canBegin(route: string, action: string): boolean {
-        const { share } = this.updateWindow(route);
+    canBegin(route: string, importance: Importance, action: string): boolean {
+        const { share } = this.updateWindow(route, importance);
         return share >= 1 || computeActionRank(action) < share;
     }
 
@@ -42,8 +43,8 @@
     }
 
     /** Records an answer of the upstream to an action of a route. */
-    recordAnswer(route: string, refusedBelow: boolean): void {
-        const state = this.updateWindow(route);
+    recordAnswer(route: string, importance: Importance, refusedBelow: boolean): void {
+        const state = this.updateWindow(route, importance);
         this.routes.set(route, {
             ...state,
             answered: state.answered + 1,
@@ -52,14 +53,14 @@
     }
 
     /** Ends the window of a route when its time is over; a route without traffic recovers as well. */
-    private updateWindow(route: string): RouteState {
+    private updateWindow(route: string, importance: Importance): RouteState {
         const nowMs = this.readNowMs();
         const state = this.routes.get(route) ?? { ...wholeShare, answered: 0, refusedBelow: 0, windowStartMs: nowMs };
         if (nowMs - state.windowStartMs < shedWindowMs) {
             return state;
         }
         const refreshed = {
-            ...updateAdmittedShare(state, state),
+            ...updateAdmittedShare(state, state, importance),
             answered: 0,
             refusedBelow: 0,
             windowStartMs: nowMs,
--- a/src/testing/startTestGraph.ts
+++ b/src/testing/startTestGraph.ts
@@ -182,6 +182,7 @@
             },
             upstream,
             platform: { address: this.platformAddress, policyKey: "policy", instancesKey: "instances" },
+            seeds: [],
             callers: [],
             maxRequestBodyBytes: 256 * 1024 * 1024,
             logLevel: "error",
--- a/src/testing/virtualGraph.ts
+++ b/src/testing/virtualGraph.ts
@@ -6,6 +6,7 @@
 import { type AuditEntry } from "../tasks/audit";
 import { type Notice } from "../tasks/control/router";
 import { NodeCore } from "../tasks/nodeCore";
+import { type PolicyPeer } from "../tasks/policySync";
 import { type Address, type Instance } from "../types";
 import { createIdSource } from "./createIdSource";
 import { type FakeCallRequest, FakeDispatch, type LinkState } from "./fakeExchange";
@@ -36,7 +37,8 @@
 const localLatencyMs = 0.1;
 const note = { author: "test", time: "2026-01-01T00:00:00.000Z", reason: "first version" };
 
-const createSettings = (endpoint: string, service: string, failureDomain: string, index: number): Settings => {
+/** Creates the settings of an endpoint; its ports follow from its index. */
+export const createSettings = (endpoint: string, service: string, failureDomain: string, index: number): Settings => {
     const address = (offset: number): Address => ({ host, port: firstPort + index * 10 + offset });
     return {
         endpoint,
@@ -46,12 +48,30 @@
         listen: { callers: address(0), peers: address(1), egress: address(2), control: address(3) },
         upstream: address(4),
         platform: { address: { host, port: 1 }, policyKey: "policy", instancesKey: "instances" },
+        seeds: [],
         callers: [],
         maxRequestBodyBytes: 1024 * 1024,
         logLevel: "error",
     };
 };
 
+/** Creates the platform's list of instances from their settings. */
+export const createInstances = (all: readonly Settings[]): readonly Instance[] =>
+    all.map(({ endpoint, service, failureDomain, listen }) => ({
+        endpoint,
+        service,
+        failureDomain,
+        peer: listen.peers,
+        control: listen.control,
+        state: "live",
+    }));
+
+/** Versions are compared in tests of their own, since promises do not run on the virtual clock. */
+const unreachablePeer: PolicyPeer = {
+    readVersion: () => Promise.resolve(undefined),
+    readLog: () => Promise.resolve(undefined),
+};
+
 /** Owns the cores, the fakes around them and the faults between them. */
 export class VirtualGraph {
     readonly clock: VirtualClock;
@@ -84,14 +104,7 @@
 
     /** Lists the instances as the platform shows them. */
     listInstances(): readonly Instance[] {
-        return [...this.endpoints.values()].map(({ settings }) => ({
-            endpoint: settings.endpoint,
-            service: settings.service,
-            failureDomain: settings.failureDomain,
-            peer: settings.listen.peers,
-            control: settings.listen.control,
-            state: "live",
-        }));
+        return createInstances([...this.endpoints.values()].map(({ settings }) => settings));
     }
 
     /** Lets all nodes, or those named, read a policy log. */
@@ -163,6 +176,7 @@
             clock,
             seed: options.seed * 2_000 + index,
             upstream: new FakeDispatch(clock, readLocalLink, request => upstream.handle(request)),
+            policyPeer: unreachablePeer,
             notices: { send: (address, notice) => this.sendNotice(failureDomain, address, notice) },
             peers: { open: address => this.openPeer(failureDomain, address), closeUnused: () => undefined },
             createId: createIdSource(clock, options.seed * 3_000 + index),
