Refuse new keys after a pause until the node knows that it has not been replaced

Cause: an instance that is paused, replaced by the platform and then wakes up would run keys as home beside its successor. Ruled out: asking other nodes (their lists lag as well); a fixed wait after waking (a pause has no bound). Change: a heartbeat notices gaps over 1 s, also at the first request after waking; new keys are refused as may-have-run until the platform has answered a read asked for after waking; a node whose endpoint is listed elsewhere never takes keys again and drains.

--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -16,6 +16,7 @@
 export const maxCallDepth = 16;
 export const maxShedRetryAfterSeconds = 10;
 export const pauseThresholdMs = 1_000;
+export const heartbeatIntervalMs = 250;
 
 export const closeGraceMs = 500;
 export const keepAliveTimeoutMs = 60_000;
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -18,6 +18,7 @@
     | "overloaded"
     | "shed"
     | "quarantined"
+    | "unsure-home"
     | "displaced"
     | "queue-timeout"
     | "deadline-exceeded"
@@ -50,6 +51,7 @@
     "answer-not-kept": "The request has been completed, but its answer is no longer kept",
     "wrong-home": "The request belongs to another instance",
     overloaded: "There is no room for the request",
+    "unsure-home": "The instance can't know whether it has been replaced",
     quarantined: "Upstreams have died during this request",
     shed: "What the request needs further on is overloaded",
     displaced: "A more important request took the place in the queue",
--- a/src/tasks/control/router.ts
+++ b/src/tasks/control/router.ts
@@ -2,6 +2,7 @@
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
 import { type AuditEntry } from "../audit";
+import { type HomeState } from "../homeGuard";
 import { type LifecyclePhase } from "../messages";
 import { type RouteShare } from "../shedder";
 
@@ -26,6 +27,8 @@
     readonly limit: number;
     readonly queued: number;
     readonly keyRecords: number;
+    /** Whether the node is the home of its endpoint's keys. */
+    readonly home: HomeState;
     /** Routes of which only a share of the new actions is let in. */
     readonly shares: readonly RouteShare[];
     readonly refusals: Readonly<Record<string, number>>;
--- /dev/null
+++ b/src/tasks/homeGuard/test.ts
@@ -0,0 +1,77 @@
+import { createInstances, createSettings } from "../../testing/virtualGraph";
+import { type Clock } from "../_lib/clock";
+import { MessageBus } from "../messages";
+import { PauseDetector } from "../pauseDetector";
+import { HomeGuard } from "./index";
+
+const settings = createSettings("desk-a", "desk", "zone-a", 0);
+const replacement = createSettings("desk-a", "desk", "zone-a", 7);
+
+/** A node's guard with a clock that the test sets, and whose heartbeat the test triggers. */
+const createGuard = () => {
+    const bus = new MessageBus();
+    let nowMs = 0;
+    let beat: () => void = () => undefined;
+    const clock: Clock = {
+        readMonotonicMs: () => nowMs,
+        readWallMs: () => nowMs,
+        startInterval: (intervalMs, handle) => {
+            beat = handle;
+            return () => undefined;
+        },
+    };
+    const detector = new PauseDetector(clock, bus);
+    const guard = new HomeGuard(settings, bus);
+    detector.start();
+    bus.publish({ kind: "instancesRead", instances: createInstances([settings]), revision: 1 });
+    return {
+        bus,
+        guard,
+        detector,
+        wait: (ms: number): void => {
+            nowMs += ms;
+        },
+        beat: (): void => beat(),
+        confirm: (askedAtMs: number): void => bus.publish({ kind: "instancesConfirmed", askedAtMs }),
+        readNowMs: () => nowMs,
+    };
+};
+
+describe("HomeGuard", () => {
+    it.each([1_500, 10_000, 60_000])("is unsure after a pause of %d ms, at the first request already", pausedMs => {
+        const { guard, detector, wait } = createGuard();
+        wait(pausedMs);
+        detector.check();
+        expect(guard.state).toBe("unsure");
+    });
+
+    it("stays sure while the heartbeat goes on", () => {
+        const { guard, wait, beat } = createGuard();
+        Array.from({ length: 100 }, () => {
+            wait(250);
+            beat();
+        });
+        expect(guard.state).toBe("sure");
+    });
+
+    it("is sure again only after a read that was asked for after waking", () => {
+        const { guard, detector, wait, confirm, readNowMs } = createGuard();
+        wait(10_000);
+        detector.check();
+        confirm(9_000);
+        expect(guard.state).toBe("unsure");
+        confirm(readNowMs());
+        expect(guard.state).toBe("sure");
+    });
+
+    it("never is home again once its endpoint is listed at another address", () => {
+        const { guard, detector, wait, confirm, bus, readNowMs } = createGuard();
+        wait(10_000);
+        detector.check();
+        bus.publish({ kind: "instancesRead", instances: createInstances([replacement]), revision: 2 });
+        confirm(readNowMs());
+        bus.publish({ kind: "instancesRead", instances: createInstances([settings]), revision: 3 });
+        confirm(readNowMs());
+        expect(guard.state).toBe("replaced");
+    });
+});
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -13,15 +13,17 @@
 import { type Admission } from "../admission";
 import { type Directory } from "../directory";
 import { type Forwarder } from "../forwarder";
+import { type HomeGuard } from "../homeGuard";
 import { type KeyRecords } from "../keyRecords";
 import { type Ledger } from "../ledger";
 import { type NodeMetrics } from "../metrics";
+import { type PauseDetector } from "../pauseDetector";
 import { type PolicyTask } from "../policy";
 import { type Quarantine } from "../quarantine";
 import { type Shedder } from "../shedder";
 import { computeFingerprint, serveKeyed, TeeSink } from "./keyedRequest";
 import { type Incoming, matchRequest, type Origin } from "./matchRequest";
-import { canBegin, createShedProblem, describeRefusal, leavingProblem } from "./refusals";
+import { canBegin, createShedProblem, describeRefusal, leavingProblem, unsureHomeProblem } from "./refusals";
 import { ServedCall, type ServeOrder } from "./servedCall";
 
 /** The tasks that the ingress works with. */
@@ -35,6 +37,8 @@
     readonly shedder: Shedder;
     readonly quarantine: Quarantine;
     readonly keyRecords: KeyRecords;
+    readonly pauseDetector: PauseDetector;
+    readonly homeGuard: HomeGuard;
     readonly forwarder: Forwarder;
     readonly directory: Directory;
     readonly metrics: NodeMetrics;
@@ -63,6 +67,7 @@
         if (node !== undefined) {
             this.parts.directory.recordCaller(node);
         }
+        this.parts.pauseDetector.check();
         this.parts.metrics.countAccepted();
         this.callCount += 1;
         const matched = matchRequest(request, origin, this.callCount, this.parts);
@@ -159,6 +164,11 @@
             records: keyRecords,
             request: keyed,
             run: () => {
+                if (this.parts.homeGuard.state !== "sure") {
+                    keyRecords.settle(keyed, { outcome: "not-run", answer: undefined });
+                    this.refuse(incoming, unsureHomeProblem);
+                    return;
+                }
                 const sink = new TeeSink(request.sink);
                 const finish = (outcome: Outcome, reason: string): void => {
                     this.finish(incoming, outcome, reason);
--- a/src/tasks/ingress/refusals.ts
+++ b/src/tasks/ingress/refusals.ts
@@ -45,6 +45,18 @@
     retryAfterSeconds: drainRetryAfterSeconds,
 };
 
+/**
+ * Answer to a new key at a node that has been paused and can't know yet whether it was replaced meanwhile.
+ * A replacement may have run the request, so that nothing is claimed of it.
+ */
+export const unsureHomeProblem: Problem = {
+    status: 503,
+    reason: "unsure-home",
+    outcome: "may-have-run",
+    detail: "this instance has been paused or replaced, and must not run requests with new keys",
+    retryAfterSeconds: refusalRetryAfterSeconds,
+};
+
 /** Answer to a request during which upstreams have died. */
 export const quarantinedProblem: Problem = {
     status: 503,
--- a/src/tasks/messages.ts
+++ b/src/tasks/messages.ts
@@ -17,6 +17,10 @@
     | { readonly kind: "policyLogRead"; readonly text: string; readonly revision: number; readonly source: string; }
     | { readonly kind: "policyAdopted"; readonly version: PolicyVersion; readonly source: string; }
     | { readonly kind: "instancesRead"; readonly instances: readonly Instance[]; readonly revision: number; }
+    /** The platform has said what the instance list is, at a question asked at a monotonic time. */
+    | { readonly kind: "instancesConfirmed"; readonly askedAtMs: number; }
+    /** The process has been paused. */
+    | { readonly kind: "paused"; readonly pausedMs: number; readonly wokeAtMs: number; }
     | { readonly kind: "platformReached"; readonly reached: boolean; readonly detail: string; }
     | { readonly kind: "lifecycleChanged"; readonly phase: LifecyclePhase; }
     /** The local upstream died during a request. */
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -47,7 +47,13 @@
             writeAudit,
         });
         const { bus, ingress, egress, metrics, lifecycle, policy, audit, sampleRandom } = this.core;
-        this.platform = new PlatformTask(createPlatform(settings), settings.platform, bus, sampleRandom);
+        this.platform = new PlatformTask(
+            createPlatform(settings),
+            settings.platform,
+            bus,
+            sampleRandom,
+            clock.readMonotonicMs,
+        );
         this.listeners = new Listeners(settings.listen, ingress, egress);
         this.control = new Control(settings.listen.control, {
             registry: metrics.registry,
@@ -68,6 +74,7 @@
         await Promise.all([this.listeners.start(), this.control.start()]);
         this.platform.start();
         this.core.policySync.start();
+        this.core.pauseDetector.start();
         this.core.lifecycle.handle("started");
     }
 
@@ -85,6 +92,7 @@
         const { lifecycle, policy, wheel } = this.core;
         lifecycle.handle("stopRequested");
         this.core.policySync.stop();
+        this.core.pauseDetector.stop();
         const limitMs = policy.inForce?.policy.drainLimitMs ?? defaultDrainLimitMs;
         const isDrained = await this.awaitIdle(limitMs);
         lifecycle.handle(isDrained ? "drained" : "drainExpired");
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -10,6 +10,7 @@
 import { Directory } from "./directory";
 import { Egress } from "./egress";
 import { Forwarder, type PeerPools } from "./forwarder";
+import { HomeGuard } from "./homeGuard";
 import { Ingress } from "./ingress";
 import { KeyRecords } from "./keyRecords";
 import { Ledger } from "./ledger";
@@ -17,6 +18,7 @@
 import { MessageBus } from "./messages";
 import { NodeMetrics } from "./metrics";
 import { Notices, type NoticeSender } from "./notices";
+import { PauseDetector } from "./pauseDetector";
 import { PolicyTask } from "./policy";
 import { type PolicyPeer, PolicySync } from "./policySync";
 import { Quarantine } from "./quarantine";
@@ -53,6 +55,8 @@
     readonly ingress: Ingress;
     readonly egress: Egress;
     readonly policySync: PolicySync;
+    readonly pauseDetector: PauseDetector;
+    readonly homeGuard: HomeGuard;
     readonly sampleRandom: () => number;
     private readonly startedAtMs: number;
     private platformReached = false;
@@ -67,6 +71,8 @@
         this.directory = new Directory(clock);
         this.keyRecords = new KeyRecords(clock);
         this.admission = new Admission(this.wheel, clock.readMonotonicMs);
+        this.pauseDetector = new PauseDetector(clock, this.bus);
+        this.homeGuard = new HomeGuard(settings, this.bus);
         this.quarantine = new Quarantine(endpoint, clock, this.bus);
         this.shedder = new Shedder(clock.readMonotonicMs);
         this.audit = new AuditTrail(this.bus, endpoint, clock.readWallMs, connections.writeAudit);
@@ -97,6 +103,8 @@
             ...shared,
             admission,
             keyRecords,
+            pauseDetector: this.pauseDetector,
+            homeGuard: this.homeGuard,
             shedder,
             quarantine,
             metrics,
@@ -156,6 +164,7 @@
             instancesKnown: this.directory.listInstances().length,
             ...this.admission.readFigures(),
             keyRecords: this.keyRecords.size,
+            home: this.homeGuard.state,
             shares: this.shedder.listShares(),
             refusals: this.metrics.listRefusals(),
             residentBytes: process.memoryUsage.rss(),
@@ -176,7 +185,7 @@
             this.directory.updateInstances(message.instances);
             this.connections.peers.closeUnused(message.instances.map(instance => instance.peer));
             const own = this.directory.findInstance(this.settings.endpoint);
-            if (own?.state === "leaving") {
+            if (own?.state === "leaving" || this.homeGuard.state === "replaced") {
                 this.lifecycle.handle("listedLeaving");
             }
         });
--- a/src/tasks/platform/index.ts
+++ b/src/tasks/platform/index.ts
@@ -23,7 +23,7 @@
 /** The platform's read-and-watch service. */
 export interface Platform {
     /** Waits until a value newer than a revision is there, or until the service's wait is over. */
-    read(key: string, afterRevision: number): Promise<PlatformRead>;
+    read(key: string, afterRevision: number, waitMs: number): Promise<PlatformRead>;
     close(): Promise<void>;
 }
 
@@ -37,11 +37,9 @@
 
     constructor(private readonly origin: string, private readonly pool: Pool) {}
 
-    async read(key: string, afterRevision: number): Promise<PlatformRead> {
+    async read(key: string, afterRevision: number, waitMs: number): Promise<PlatformRead> {
         try {
-            const url = `${this.origin}/v1/values/${
-                encodeURIComponent(key)
-            }?after=${afterRevision}&waitMs=${platformWaitMs}`;
+            const url = `${this.origin}/v1/values/${encodeURIComponent(key)}?after=${afterRevision}&waitMs=${waitMs}`;
             const answer = await request(url, {
                 dispatcher: this.pool,
                 signal: this.closing.signal,
@@ -95,7 +93,10 @@
         private readonly settings: Settings["platform"],
         private readonly bus: MessageBus,
         private readonly sampleRandom: () => number,
-    ) {}
+        private readonly readNowMs: () => number,
+    ) {
+        bus.subscribe("paused", () => void this.readInstancesNow());
+    }
 
     start(): void {
         void this.watch(
@@ -116,6 +117,20 @@
         await this.platform.close();
     }
 
+    /** Reads the instance list at once, and again until the platform answers. */
+    private async readInstancesNow(): Promise<void> {
+        for (let failures = 1; !this.stopped; failures += 1) {
+            const askedAtMs = this.readNowMs();
+            const read = await this.platform.read(this.settings.instancesKey, 0, 0);
+            if (read.kind === "value") {
+                this.publishInstances(read.value);
+                this.bus.publish({ kind: "instancesConfirmed", askedAtMs });
+                return;
+            }
+            await this.awaitPause(failures);
+        }
+    }
+
     private publishInstances(value: PlatformValue): void {
         const instances = parseInstances(value.text);
         if (instances) {
@@ -132,7 +147,7 @@
         let revision = 0;
         let failures = 0;
         while (!this.stopped) {
-            const read = await this.platform.read(key, revision);
+            const read = await this.platform.read(key, revision, platformWaitMs);
             if (this.stopped) {
                 return;
             }
