Load policies and describe grown bodies in one place

Cause: reading the tree as a newcomer: two copies of the Ertis routes, three of the policy check for experiments, two of the answer to a body that grew past the bound. Ruled out: one scenario file for demo and experiments (their loads differ on purpose). Change: loadPolicy, createGrownBodyProblem; the demo takes the Ertis routes but for fuelpost.

--- a/bench/demo/scenario.ts
+++ b/bench/demo/scenario.ts
@@ -1,7 +1,7 @@
 /** The Ertis call graph of the demo, with scaled slots. */
-import ertisPolicy from "../../examples/ertis/policy.json";
-import { checkPolicy } from "../../src/policy/checkPolicy";
 import { type Policy } from "../../src/policy/types";
+import { type UpstreamRoute } from "../../src/standins/types";
+import { ertisRoutes, loadErtisPolicy } from "../scenarios/ertis";
 import { type Scenario } from "../types";
 
 const slotsByService: Readonly<Record<string, number>> = { berthdesk: 40, slotbook: 40, fuelpost: 4, fleetwatch: 40 };
@@ -9,17 +9,19 @@
 
 /** Scales the slots and queues of the example's policy to one machine. */
 const createScaledPolicy = (): Policy => {
-    const checked = checkPolicy(ertisPolicy);
-    if (!checked.ok) {
-        throw new Error(`the example's policy has faults: ${JSON.stringify(checked.faults)}`);
-    }
-    const services = Object.entries(checked.value.services).map(([name, service]) => {
+    const policy = loadErtisPolicy();
+    const services = Object.entries(policy.services).map(([name, service]) => {
         const slots = slotsByService[name]!;
         return [name, { ...service, slots, queue: { maxLength: slots, maxWaitMs: queueWaitMs } }] as const;
     });
-    return { ...checked.value, services: Object.fromEntries(services) };
+    return { ...policy, services: Object.fromEntries(services) };
 };
 
+const fuelpostRoutes: readonly UpstreamRoute[] = [
+    { method: "GET", pathPrefix: "/stock/", workMs: 30, idempotent: true, children: [] },
+    { method: "POST", pathPrefix: "/allocations", workMs: 40, idempotent: false, children: [] },
+];
+
 /** Creates the scenario of the demo. */
 export const createDemoScenario = (seed: number): Scenario => ({
     name: "ertis-fuelpost-slow",
@@ -27,56 +29,7 @@
     policy: createScaledPolicy(),
     region: "kz-north",
     entryServices: ["berthdesk", "fleetwatch"],
-    upstreamRoutes: {
-        berthdesk: [
-            {
-                method: "GET",
-                pathPrefix: "/berths/",
-                workMs: 4,
-                idempotent: true,
-                children: [
-                    { service: "slotbook", method: "GET", path: "/slots/7" },
-                    { service: "fleetwatch", method: "GET", path: "/barges/12" },
-                ],
-            },
-            {
-                method: "GET",
-                pathPrefix: "/fuel/",
-                workMs: 4,
-                idempotent: true,
-                children: [{ service: "fuelpost", method: "GET", path: "/stock/2" }],
-            },
-            {
-                method: "POST",
-                pathPrefix: "/bookings",
-                workMs: 4,
-                idempotent: false,
-                children: [{ service: "slotbook", method: "POST", path: "/confirmations" }],
-            },
-            {
-                method: "POST",
-                pathPrefix: "/fuel-orders",
-                workMs: 4,
-                idempotent: false,
-                children: [{ service: "fuelpost", method: "POST", path: "/allocations" }],
-            },
-        ],
-        slotbook: [
-            { method: "GET", pathPrefix: "/slots/", workMs: 5, idempotent: true, children: [] },
-            {
-                method: "POST",
-                pathPrefix: "/confirmations",
-                workMs: 8,
-                idempotent: false,
-                children: [{ service: "fuelpost", method: "POST", path: "/allocations" }],
-            },
-        ],
-        fuelpost: [
-            { method: "GET", pathPrefix: "/stock/", workMs: 30, idempotent: true, children: [] },
-            { method: "POST", pathPrefix: "/allocations", workMs: 40, idempotent: false, children: [] },
-        ],
-        fleetwatch: [{ method: "GET", pathPrefix: "/barges/", workMs: 5, idempotent: true, children: [] }],
-    },
+    upstreamRoutes: { ...ertisRoutes, fuelpost: fuelpostRoutes },
     classes: [
         { name: "booking", entry: "berthdesk", method: "POST", path: "/bookings", ratePerSecond: 40, keyed: true },
         {
--- a/bench/scenarios/cai.ts
+++ b/bench/scenarios/cai.ts
@@ -1,17 +1,11 @@
 /** The CAI call graph with the sizes of the brief. */
 import caiPolicy from "../../examples/cai/policy.json";
-import { checkPolicy } from "../../src/policy/checkPolicy";
 import { type Policy } from "../../src/policy/types";
+import { loadPolicy } from "../_lib/loadPolicy";
 import { type EntryClass, type UpstreamRoutes } from "./ertis";
 
 /** Loads the example's policy. */
-export const loadCaiPolicy = (): Policy => {
-    const checked = checkPolicy(caiPolicy);
-    if (!checked.ok) {
-        throw new Error(`the example's policy has faults: ${JSON.stringify(checked.faults)}`);
-    }
-    return checked.value;
-};
+export const loadCaiPolicy = (): Policy => loadPolicy(caiPolicy);
 
 /** What the upstreams of CAI do for each route. */
 export const caiRoutes: UpstreamRoutes = {
--- a/bench/scenarios/ertis.ts
+++ b/bench/scenarios/ertis.ts
@@ -1,8 +1,8 @@
 /** The Ertis call graph with the sizes of the brief. */
 import ertisPolicy from "../../examples/ertis/policy.json";
-import { checkPolicy } from "../../src/policy/checkPolicy";
 import { type Policy } from "../../src/policy/types";
 import { type LoadClass, type UpstreamRoute } from "../../src/standins/types";
+import { loadPolicy } from "../_lib/loadPolicy";
 
 /** What a call graph's upstreams do. */
 export type UpstreamRoutes = Readonly<Record<string, readonly UpstreamRoute[]>>;
@@ -11,13 +11,7 @@
 export type EntryClass = LoadClass & { readonly entry: string; };
 
 /** Loads the example's policy. */
-export const loadErtisPolicy = (): Policy => {
-    const checked = checkPolicy(ertisPolicy);
-    if (!checked.ok) {
-        throw new Error(`the example's policy has faults: ${JSON.stringify(checked.faults)}`);
-    }
-    return checked.value;
-};
+export const loadErtisPolicy = (): Policy => loadPolicy(ertisPolicy);
 
 /** What the upstreams of Ertis do for each route. */
 export const ertisRoutes: UpstreamRoutes = {
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -65,6 +65,14 @@
     "upstream-unframed": "The upstream's answer has no length, so that it can't be told whether it is whole",
 };
 
+/** Creates the answer to a request whose body passed the bound while it was sent on. */
+export const createGrownBodyProblem = (outcome: Outcome): Problem => ({
+    status: 413,
+    reason: "body-too-large",
+    outcome,
+    detail: "the body grew past the bound while it was sent on",
+});
+
 /** An answer of the system's own, ready to be written. */
 export interface ProblemAnswer {
     readonly head: AnswerHead;
--- a/src/tasks/forwarder/exchange.ts
+++ b/src/tasks/forwarder/exchange.ts
@@ -17,7 +17,7 @@
     retriesHeader,
     stripHeaders,
 } from "../_lib/headers";
-import { type Problem } from "../_lib/problem";
+import { createGrownBodyProblem, type Problem } from "../_lib/problem";
 import { type ForwardOrder } from "./forwardedCall";
 
 const outcomes: ReadonlySet<string> = new Set(["completed", "not-run", "may-have-run", "failed"]);
@@ -97,12 +97,7 @@
         };
     }
     if (cause === "body-too-large") {
-        return {
-            status: 413,
-            reason: "body-too-large",
-            outcome,
-            detail: "the body grew past the bound while it was sent on",
-        };
+        return createGrownBodyProblem(outcome);
     }
     const isUnsent = outcome === "not-run";
     return {
--- a/src/tasks/forwarder/forwardedCall.ts
+++ b/src/tasks/forwarder/forwardedCall.ts
@@ -59,6 +59,8 @@
     private attempt: Attempt | undefined;
     private attempts = 0;
     private granted = 0;
+    /** Wait before the retry that is planned, in milliseconds. */
+    private backoffMs = 0;
     private mayHaveRun = false;
     private answerOutcome: Outcome | undefined;
     private retryPlanned = false;
@@ -220,8 +222,6 @@
         return this.retryPlanned;
     }
 
-    private backoffMs = 0;
-
     private startRetry(): void {
         this.retryPlanned = false;
         this.parts.metrics.countRetry(this.order.service);
--- a/src/tasks/ingress/refusals.ts
+++ b/src/tasks/ingress/refusals.ts
@@ -7,7 +7,7 @@
 } from "../../constants";
 import { type Outcome } from "../../types";
 import { type BreakCause } from "../_lib/attempt";
-import { type Problem } from "../_lib/problem";
+import { createGrownBodyProblem, type Problem } from "../_lib/problem";
 import { type RefusalReason } from "../admission";
 import { type Shedder } from "../shedder";
 import { type Call, type RouteMatch } from "../types";
@@ -96,12 +96,7 @@
         };
     }
     if (cause === "body-too-large") {
-        return {
-            status: 413,
-            reason: "body-too-large",
-            outcome,
-            detail: "the body grew past the bound while it was sent on",
-        };
+        return createGrownBodyProblem(outcome);
     }
     if (outcome === "not-run") {
         return {
