--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import { runCapacity } from "./capacity";
 import { runDemo } from "./demo";
 import { runLatency } from "./latency";
+import { runLimits } from "./limits";
 import { runVirtual } from "./virtual";
 import { type ControlKind } from "./virtual/types";
 
@@ -58,6 +59,12 @@
         runCapacity({ distFolder, outFolder: options.out, largest: options.largest === true })
     );
 
+program
+    .command("limits", "Compare laws of the concurrency limit on a virtual clock")
+    .option("--out <folder>", "Folder for the results", { default: `${distFolder}/limits` })
+    .example("node dist/bench.cjs limits")
+    .action((options: { readonly out: string; }) => runLimits({ outFolder: options.out, seeds: [1, 2, 3] }));
+
 program.help();
 
 const runProgram = async (): Promise<void> => {
--- a/bench/virtual/runExperiment.ts
+++ b/bench/virtual/runExperiment.ts
@@ -46,7 +46,13 @@
         seen.retries.count += 1;
     };
     if (control === "pomelovalve") {
-        const graph = new VirtualGraph({ ...shared, recordRetry });
+        const { limitLaw, realSlots, sheddingAbove = {} } = experiment;
+        const graph = new VirtualGraph({ ...shared, recordRetry, limitLaw, realSlots });
+        Object.entries(sheddingAbove).forEach(([service, maxQueued]) =>
+            policy.services[service]!.endpoints.forEach(endpoint =>
+                graph.getEndpoint(endpoint.name).upstream.updateShedding(maxQueued)
+            )
+        );
         return {
             clock,
             send: (endpoint, request) => graph.send(endpoint, request),
--- a/bench/virtual/types.ts
+++ b/bench/virtual/types.ts
@@ -1,4 +1,5 @@
 /** Types of experiments on a virtual clock. */
+import { type LimitLaw } from "../../src/decisions/limitLaws";
 import { type Policy } from "../../src/policy/types";
 import { type EntryClass, type UpstreamRoutes } from "../scenarios/ertis";
 
@@ -27,6 +28,12 @@
     readonly usefulMs: number;
     readonly seed: number;
     readonly trigger: Trigger;
+    /** Law of the concurrency limits; the one in force by default. */
+    readonly limitLaw?: LimitLaw;
+    /** Slots that a service's upstreams really have, where the policy is wrong. */
+    readonly realSlots?: Readonly<Record<string, number>>;
+    /** Waiting requests above which a service's upstreams shed. */
+    readonly sheddingAbove?: Readonly<Record<string, number>>;
     readonly settledMs: number;
     readonly triggerStartMs: number;
     readonly triggerEndMs: number;
--- a/src/tasks/admission/index.ts
+++ b/src/tasks/admission/index.ts
@@ -7,7 +7,7 @@
     hasFreeSlot,
     type SlotOccupation,
 } from "../../decisions/decideAdmission";
-import { createLimit, type LimitState, updateLimit } from "../../decisions/updateLimit";
+import { type LimitLaw, type LimitState } from "../../decisions/limitLaws";
 import { type ServicePolicy } from "../../policy/types";
 import { type Importance } from "../../types";
 import { type Timeout, type TimerWheel } from "../_lib/timerWheel";
@@ -46,20 +46,25 @@
 export class Admission {
     private readonly queues: Readonly<Record<Importance, Waiting[]>> = { critical: [], normal: [], low: [] };
     private policy: ServicePolicy | undefined;
-    private limitState: LimitState = { limit: 1 };
+    private limitState: LimitState = { limit: 1, baselineMs: undefined };
     private inFlight = 0;
     private lesserInFlight = 0;
     private peakInFlight = 0;
     private completedInWindow = 0;
     private refusedInWindow = 0;
+    private durationsInWindowMs = 0;
     private windowStartMs = 0;
 
-    constructor(private readonly wheel: TimerWheel, private readonly readNowMs: () => number) {}
+    constructor(
+        private readonly wheel: TimerWheel,
+        private readonly readNowMs: () => number,
+        private readonly law: LimitLaw,
+    ) {}
 
     /** Takes over the policy of the service; the first one starts the limit as after a cold start. */
     updatePolicy(policy: ServicePolicy): void {
         if (!this.policy) {
-            this.limitState = createLimit(policy);
+            this.limitState = this.law.start(policy);
         }
         this.policy = policy;
     }
@@ -67,7 +72,7 @@
     /** Starts the limit anew, as after a restart of the upstream. */
     startCold(): void {
         if (this.policy) {
-            this.limitState = createLimit(this.policy);
+            this.limitState = this.law.start(this.policy);
         }
     }
 
@@ -103,11 +108,12 @@
         return this.addWaiting(applicant);
     }
 
-    /** Gives back the slot of a request of an importance. */
-    release(importance: Importance, result: SlotResult): void {
+    /** Gives back the slot of a request of an importance, which it held for a number of milliseconds. */
+    release(importance: Importance, result: SlotResult, durationMs: number): void {
         this.inFlight -= 1;
         this.lesserInFlight -= importance === "critical" ? 0 : 1;
         this.completedInWindow += result === "completed" ? 1 : 0;
+        this.durationsInWindowMs += result === "completed" ? durationMs : 0;
         this.refusedInWindow += result === "refused" ? 1 : 0;
         this.updateWindow();
         this.runWaiting();
@@ -204,13 +210,19 @@
         if (nowMs - this.windowStartMs < limitWindowMs) {
             return;
         }
-        this.limitState = updateLimit(
+        this.limitState = this.law.update(
             this.limitState,
-            { refused: this.refusedInWindow, completed: this.completedInWindow, peakInFlight: this.peakInFlight },
+            {
+                refused: this.refusedInWindow,
+                completed: this.completedInWindow,
+                peakInFlight: this.peakInFlight,
+                meanMs: this.durationsInWindowMs / Math.max(1, this.completedInWindow),
+            },
             this.policy!,
         );
         this.windowStartMs = nowMs;
         this.completedInWindow = 0;
+        this.durationsInWindowMs = 0;
         this.refusedInWindow = 0;
         this.peakInFlight = this.inFlight;
     }
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -81,6 +81,7 @@
     private deadline: Timeout | undefined;
     private outcome: Outcome | undefined;
     private finished = false;
+    private ranAtMs = 0;
 
     constructor(private readonly order: ServeOrder, private readonly parts: ServingParts) {
         this.importance = order.call.importance;
@@ -123,8 +124,9 @@
     }
 
     run(): void {
+        this.ranAtMs = this.parts.clock.readMonotonicMs();
         if (this.computeRemainingMs() < minForwardMs) {
-            this.parts.admission.release(this.importance, "cancelled");
+            this.releaseSlot("cancelled");
             this.refuseLate();
             return;
         }
@@ -161,11 +163,11 @@
         this.recordSurvival(result);
         if (result.kind === "answered") {
             const outcome = this.outcome!;
-            this.parts.admission.release(this.importance, slotResultByOutcome[outcome]);
+            this.releaseSlot(slotResultByOutcome[outcome]);
             this.settle(outcome, "answered");
             return;
         }
-        this.parts.admission.release(this.importance, result.cause === "cancelled" ? "cancelled" : "refused");
+        this.releaseSlot(result.cause === "cancelled" ? "cancelled" : "refused");
         const outcome = result.kind === "unsent" ? "not-run" : "may-have-run";
         if (result.kind === "broken" && result.passedOn) {
             this.settle(outcome, "upstream-broke-off");
@@ -179,6 +181,11 @@
         this.refuseWith(describeBreak(result.cause, outcome));
     }
 
+    private releaseSlot(result: SlotResult): void {
+        const durationMs = this.parts.clock.readMonotonicMs() - this.ranAtMs;
+        this.parts.admission.release(this.importance, result, durationMs);
+    }
+
     private isQuarantined(): boolean {
         const { quarantine } = this.parts;
         return !quarantine.isEmpty() && quarantine.isRefused(this.computeFingerprint(), this.order.kind);
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -3,6 +3,7 @@
 import { Pool } from "undici";
 import { v7 } from "uuid";
 import { defaultDrainLimitMs, peerConnections, upstreamKeepAliveMs } from "../constants";
+import { AdditiveLimit } from "../decisions/limitLaws";
 import { type Settings } from "../settings/types";
 import { type Clock, systemClock } from "./_lib/clock";
 import { type AuditEntry } from "./audit";
@@ -42,6 +43,7 @@
             notices: new TrpcNoticeSender(),
             policyPeer: new TrpcPolicyPeer(),
             clock,
+            limitLaw: new AdditiveLimit(),
             seed,
             createId: () => v7(),
             writeAudit,
--- a/src/tasks/nodeCore.ts
+++ b/src/tasks/nodeCore.ts
@@ -1,5 +1,6 @@
 /** The tasks of a node that own no sockets, wired to each other. */
 import { createRandom } from "../_lib/createRandom";
+import { type LimitLaw } from "../decisions/limitLaws";
 import { type Settings } from "../settings/types";
 import { type Dispatch } from "./_lib/attempt";
 import { type Clock } from "./_lib/clock";
@@ -31,6 +32,7 @@
     readonly notices: NoticeSender;
     readonly policyPeer: PolicyPeer;
     readonly clock: Clock;
+    readonly limitLaw: LimitLaw;
     readonly seed: number;
     /** Mints a UUID of version 7. */
     readonly createId: () => string;
@@ -70,7 +72,7 @@
         this.policy = new PolicyTask(this.bus, clock.readWallMs);
         this.directory = new Directory(clock);
         this.keyRecords = new KeyRecords(clock);
-        this.admission = new Admission(this.wheel, clock.readMonotonicMs);
+        this.admission = new Admission(this.wheel, clock.readMonotonicMs, connections.limitLaw);
         this.pauseDetector = new PauseDetector(clock, this.bus);
         this.homeGuard = new HomeGuard(settings, this.bus);
         this.quarantine = new Quarantine(endpoint, clock, this.bus);
--- a/src/testing/virtualGraph.ts
+++ b/src/testing/virtualGraph.ts
@@ -1,4 +1,5 @@
 /** Cores of nodes and fake upstreams of one call graph, on one virtual clock. */
+import { AdditiveLimit, type LimitLaw } from "../decisions/limitLaws";
 import { createPolicyLog } from "../policy/createPolicyLog";
 import { type Policy, type PolicyLog } from "../policy/types";
 import { type Settings } from "../settings/types";
@@ -19,6 +20,10 @@
     readonly policy: Policy;
     readonly upstreamRoutes: Readonly<Record<string, readonly UpstreamRoute[]>>;
     readonly seed: number;
+    /** Law of the concurrency limits; the one in force by default. */
+    readonly limitLaw?: LimitLaw;
+    /** Slots that upstreams really have, where the policy is wrong. */
+    readonly realSlots?: Readonly<Record<string, number>>;
     readonly recordRun?: (run: UpstreamRun) => void;
     readonly recordRetry?: () => void;
     readonly recordAudit?: (entry: AuditEntry) => void;
@@ -161,7 +166,7 @@
         const settings = createSettings(name, service, failureDomain, index);
         const upstream = new FakeUpstream(clock, {
             endpoint: name,
-            slots,
+            slots: options.realSlots?.[service] ?? slots,
             seed: options.seed * 1_000 + index,
             routes: options.upstreamRoutes[service] ?? [],
             callChild: (target, request) => this.getEndpoint(name).core.egress.handle(request),
@@ -174,6 +179,7 @@
         });
         const core = new NodeCore(settings, {
             clock,
+            limitLaw: options.limitLaw ?? new AdditiveLimit(),
             seed: options.seed * 2_000 + index,
             upstream: new FakeDispatch(clock, readLocalLink, request => upstream.handle(request)),
             policyPeer: unreachablePeer,
