--- a/src/tasks/keyRecords/test.ts
+++ b/src/tasks/keyRecords/test.ts
@@ -1,7 +1,8 @@
-import { Agent, request } from "undici";
+import { request } from "undici";
 import { v7 } from "uuid";
 import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
-import { awaitCondition, TestGraph, type UpstreamHandler } from "../../testing/startTestGraph";
+import { registerGraph } from "../../testing/registerGraph";
+import { awaitCondition } from "../../testing/startTestGraph";
 
 const createKeyedPolicy = () =>
     createPolicy({
@@ -9,23 +10,7 @@
     });
 
 describe("requests with a key over real connections", () => {
-    let graph: TestGraph | undefined;
-    let agent: Agent;
-
-    beforeEach(() => {
-        agent = new Agent();
-    });
-
-    afterEach(async () => {
-        await agent.destroy();
-        await graph?.stop();
-        graph = undefined;
-    });
-
-    const start = async (handler: UpstreamHandler): Promise<string> => {
-        graph = await new TestGraph({ policy: createKeyedPolicy(), upstreams: { desk: () => handler } }).start();
-        return graph.getNode("desk-a").callers;
-    };
+    const { getAgent, start } = registerGraph(createKeyedPolicy());
 
     it("runs a keyed request once, and gives the whole first answer to the second sender", async () => {
         let runs = 0;
@@ -36,7 +21,7 @@
         const send = (key: string, body: string, authorization = "Bearer one") =>
             request(`${origin}/bookings`, {
                 method: "POST",
-                dispatcher: agent,
+                dispatcher: getAgent(),
                 headers: { "idempotency-key": key, authorization },
                 body,
             });
@@ -60,7 +45,7 @@
         });
         const headers = { "idempotency-key": v7() };
         const controller = new AbortController();
-        const options = { method: "POST", dispatcher: agent, headers, body: "a" } as const;
+        const options = { method: "POST", dispatcher: getAgent(), headers, body: "a" } as const;
         const first = request(`${origin}/bookings`, { ...options, signal: controller.signal });
         await awaitCondition(() => runs === 1, "first run");
         controller.abort();
@@ -75,7 +60,7 @@
         const origin = await start((incoming, response) => response.end("ran"));
         const answer = await request(`${origin}/bookings`, {
             method: "POST",
-            dispatcher: agent,
+            dispatcher: getAgent(),
             headers: { "idempotency-key": "order-1" },
         });
         expect(answer.statusCode).toBe(400);
