--- a/bench/_lib/renderPlot.ts
+++ b/bench/_lib/renderPlot.ts
@@ -20,6 +20,7 @@
 const height = 360;
 const margin = { left: 60, right: 20, top: 40, bottom: 60 };
 const tickCount = 5;
+const timeTickMs = 5_000;
 
 const escapeText = (text: string): string => text.replaceAll("&", "&amp;").replaceAll("<", "&lt;");
 
@@ -33,23 +34,21 @@
     const plotHeight = height - margin.top - margin.bottom;
     const scaleX = (atMs: number): number => margin.left + atMs / options.durationMs * plotWidth;
     const scaleY = (value: number): number => margin.top + plotHeight - value / highest * plotHeight;
-    const ticks = [...Array(tickCount + 1).keys()].map(index => index / tickCount);
-    const grid = ticks.flatMap(share => {
-        const value = share * highest;
-        const atMs = share * options.durationMs;
-        return [
+    const valueTicks = [...Array(tickCount + 1).keys()].map(index => index / tickCount * highest);
+    const timeTicksMs = [...Array(Math.floor(options.durationMs / timeTickMs) + 1).keys()].map(index =>
+        index * timeTickMs
+    );
+    const grid = [
+        ...valueTicks.flatMap(value => [
             `<line x1="${margin.left}" x2="${width - margin.right}" y1="${scaleY(value)}" y2="${
                 scaleY(value)
             }" stroke="#ddd"/>`,
             renderText(margin.left - 6, scaleY(value) + 4, value.toFixed(0), 'text-anchor="end"'),
-            renderText(
-                scaleX(atMs),
-                height - margin.bottom + 18,
-                `${(atMs / 1_000).toFixed(0)} s`,
-                'text-anchor="middle"',
-            ),
-        ];
-    });
+        ]),
+        ...timeTicksMs.map(atMs =>
+            renderText(scaleX(atMs), height - margin.bottom + 18, `${atMs / 1_000} s`, 'text-anchor="middle"')
+        ),
+    ];
     const triggerWidth = scaleX(options.triggerEndMs) - scaleX(options.triggerStartMs);
     const curves = lines.map(line => {
         const points = line.points.map(point =>
--- a/src/main.ts
+++ b/src/main.ts
@@ -16,10 +16,15 @@
             await program.runMatchedCommand();
             return;
         }
-        if (!program.options["help"]) {
+        if (program.options["help"]) {
+            return;
+        }
+        const [unknown] = program.args;
+        if (unknown === undefined) {
             program.outputHelp();
-            process.exitCode = exitUsage;
         }
+        const errors = unknown === undefined ? "" : `unknown command "${unknown}"; see pomelovalve --help\n`;
+        report({ code: exitUsage, output: "", errors });
     }
     catch (error) {
         report({ code: exitUsage, output: "", errors: `${(error as Error).message}\n` });
--- a/src/tasks/directory/index.ts
+++ b/src/tasks/directory/index.ts
@@ -92,8 +92,11 @@
         this.evidence.set(endpoint, { ...this.getEvidence(endpoint), leavingUntilMs });
     }
 
-    /** Records that the node of an instance has called this one. */
+    /** Records that the node of an instance has called this one; a name that is not listed is ignored. */
     recordCaller(endpoint: string): void {
+        if (!this.instancesByEndpoint.has(endpoint)) {
+            return;
+        }
         this.callerSeenAtMs.set(endpoint, this.clock.readMonotonicMs());
     }
 
--- /dev/null
+++ b/src/tasks/directory/test.ts
@@ -0,0 +1,48 @@
+import { VirtualClock } from "../../testing/virtualClock";
+import { createInstances, createSettings } from "../../testing/virtualGraph";
+import { Directory } from "./index";
+
+const createDirectory = () => {
+    const clock = new VirtualClock();
+    const directory = new Directory(clock);
+    const instances = createInstances([
+        createSettings("desk-a", "desk", "zone-a", 0),
+        createSettings("desk-b", "desk", "zone-b", 1),
+    ]);
+    directory.updateInstances(instances);
+    const getCandidate = (endpoint: string) =>
+        directory.listCandidates("desk").find(candidate => candidate.endpoint === endpoint)!;
+    const wait = (ms: number): void => clock.runUntil(clock.readMonotonicMs() + ms);
+    return { directory, instances, getCandidate, wait };
+};
+
+describe("Directory", () => {
+    it("lets direct evidence go before the list, for a limited time", () => {
+        const { directory, instances, getCandidate, wait } = createDirectory();
+        directory.recordLeaving("desk-a");
+        directory.recordUnreachable("desk-b");
+        directory.updateInstances(instances);
+        expect([getCandidate("desk-a").leaving, getCandidate("desk-b").suspected]).toEqual([true, true]);
+        wait(1_001);
+        expect([getCandidate("desk-a").leaving, getCandidate("desk-b").suspected]).toEqual([true, false]);
+        wait(14_000);
+        expect(getCandidate("desk-a").leaving).toBe(false);
+    });
+
+    it("believes a reported load for half a second", () => {
+        const { directory, getCandidate, wait } = createDirectory();
+        directory.recordAnswer("desk-a", 1, false);
+        expect(getCandidate("desk-a").load).toBe(1);
+        wait(501);
+        expect(getCandidate("desk-a").load).toBe(0);
+    });
+
+    it("remembers listed callers for a minute, and no others", () => {
+        const { directory, wait } = createDirectory();
+        directory.recordCaller("desk-b");
+        directory.recordCaller("made-up");
+        expect(directory.listCallers().map(({ endpoint }) => endpoint)).toEqual(["desk-b"]);
+        wait(60_001);
+        expect(directory.listCallers()).toEqual([]);
+    });
+});
