--- /dev/null
+++ b/src/decisions/decideRetry/test.ts
@@ -0,0 +1,52 @@
+import fc from "fast-check";
+import { type AttemptEnd, decideRetry, type RetrySituation } from "./index";
+
+const createSituation = (change: Partial<RetrySituation> = {}): RetrySituation => ({
+    end: "not-run",
+    repeatable: true,
+    recorded: false,
+    refusedBelow: false,
+    replayable: true,
+    retriesLeft: 1,
+    candidates: 1,
+    remainingMs: 1_000,
+    backoffMs: 10,
+    ...change,
+});
+
+describe("decideRetry", () => {
+    it.each(
+        [
+            ["a refusal, with allowance, room and time", {}, true],
+            ["a completed call", { end: "completed" }, false],
+            ["without allowance", { retriesLeft: 0 }, false],
+            ["without an instance that has room", { candidates: 0 }, false],
+            ["without time", { remainingMs: 11 }, false],
+            ["without the body", { replayable: false }, false],
+            ["a refusal further on", { refusedBelow: true }, false],
+            ["a failure that its home has recorded", { end: "failed", recorded: true }, false],
+            ["a lost answer of a request that may be repeated", { end: "unknown" }, true],
+            ["a lost answer of a request that must not", { end: "unknown", repeatable: false }, false],
+            ["a refusal of a request that must not be repeated", { repeatable: false }, true],
+        ] as const,
+    )("decides on %s", (name, change, expected) => {
+        expect(decideRetry(createSituation(change))).toBe(expected);
+    });
+
+    it("never repeats what must not be repeated and may have run", () => {
+        const end = fc.constantFrom<AttemptEnd>("completed", "failed", "unknown");
+        fc.assert(
+            fc.property(end, fc.nat(20), fc.nat(20), fc.nat(9_000), (found, retriesLeft, candidates, remainingMs) => {
+                const situation = createSituation({
+                    end: found,
+                    repeatable: false,
+                    retriesLeft,
+                    candidates,
+                    remainingMs,
+                });
+                expect(decideRetry(situation)).toBe(false);
+            }),
+            { seed: 19, numRuns: 500 },
+        );
+    });
+});
