Say once what stood twice, and take out what nothing used

Cause: reading the whole change again. The check whether a node takes new work stood in the ingress and in the served call; headers that go on with a request, and the answers 'no policy' and 'unknown route', in ingress and egress; the set-up of a test graph in the ingress test beside registerGraph. The own headers of an answer were made and then cut off by position. Every completed call built the list of candidates for a retry that it never makes. Ruled out: one refusal path for ingress and served call (the ingress refuses before it reads a body, on purpose). Change: findEntryRefusal, createForwardHeaders, createNoPolicyProblem, createUnknownRouteProblem; candidates are listed only for a call that did not complete. Out: Admission.startCold, two constants, a count of reads and one of bytes in the platform's stand-in, a reading of the capacity bench that it never showed. Speed was not measured. Seen on the way: the depth of a call is carried but not bounded, so a loop of calls ends at its deadline.

--- a/bench/capacity/index.ts
+++ b/bench/capacity/index.ts
@@ -46,7 +46,6 @@
     readonly restBytes: number;
     readonly busyBytes: number;
     readonly restCoreShare: number;
-    readonly restReadsPerSecond: number;
     readonly patchMs: number;
     readonly listMs: number;
     readonly slowestAdoptionMs: number;
@@ -67,11 +66,6 @@
     };
 };
 
-const readReads = async (port: number): Promise<number> => {
-    const answer = await request(`http://${host}:${port}/standin/reads`);
-    return (await answer.body.json() as { readonly reads: number; }).reads;
-};
-
 const createNote = (version: number) => ({
     author: "bench",
     time: "2026-01-01T00:00:00.000Z",
@@ -170,11 +164,9 @@
         processes.start({ name: "node", file: program, args: ["node", "--settings", settingsFile] });
         await awaitAnswer(`http://${host}:${controlPort}/readyz`);
         await awaitMs(2_000);
-        const readsBefore = await readReads(platformPort);
         const before = await readNode(controlPort);
         await awaitMs(restMs);
         const rested = await readNode(controlPort);
-        const restReads = await readReads(platformPort) - readsBefore;
         const { patchMs, slowestMs } = await measurePatches(log, platformPort, controlPort);
         const listMs = await measureLists(size, platformPort, controlPort);
         return {
@@ -184,7 +176,6 @@
             restBytes: rested.residentBytes,
             busyBytes: (await readNode(controlPort)).residentBytes,
             restCoreShare: (rested.processorSeconds - before.processorSeconds) * 1_000 / restMs,
-            restReadsPerSecond: restReads * 1_000 / restMs,
             patchMs,
             listMs,
             slowestAdoptionMs: slowestMs,
--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -13,7 +13,6 @@
 export const sweepIntervalMs = 10;
 export const limitWindowMs = 100;
 export const shedWindowMs = 100;
-export const maxCallDepth = 16;
 export const maxShedRetryAfterSeconds = 10;
 export const pauseThresholdMs = 1_000;
 export const heartbeatIntervalMs = 250;
@@ -34,7 +33,6 @@
 export const keyRetentionMs = 120_000;
 
 export const actionFreshnessMs = 250;
-export const maxLedgerEntries = 50_000;
 
 export const maxSuspects = 2_000;
 export const quarantineRetryAfterSeconds = 60;
--- a/src/standins/platform/index.ts
+++ b/src/standins/platform/index.ts
@@ -33,7 +33,6 @@
     private mode = initialMode;
     private revision = 0;
     private reads = 0;
-    private sentBytes = 0;
     private server: Server | undefined;
 
     async start(port: number): Promise<void> {
@@ -64,11 +63,6 @@
         }
     }
 
-    /** Number of reads since the start; a waiting watch counts as one. */
-    countReads(): number {
-        return this.reads;
-    }
-
     private recordValue(key: string, text: string): void {
         this.revision += 1;
         const value = { revision: this.revision, text };
@@ -139,7 +133,6 @@
 
     private sendValue(response: ServerResponse, value: StoredValue): void {
         const bytes = Buffer.byteLength(value.text);
-        this.sentBytes += bytes;
         response.writeHead(200, {
             "content-type": "application/json",
             "content-length": bytes,
@@ -150,7 +143,7 @@
 
     private async handleSwitch(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (url.pathname === "/standin/reads") {
-            sendJson(response, 200, { reads: this.reads, sentBytes: this.sentBytes });
+            sendJson(response, 200, { reads: this.reads });
             return;
         }
         const text = await readText(request);
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -2,8 +2,8 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { maxReplayBodyBytes } from "../../constants";
 import { type AnswerSink, ResponseSink } from "./answerSink";
-import { findHeader } from "./headers";
-import { type BodyOptions, type BodyResult, readBody } from "./readBody";
+import { findHeader, requestHeadersSetAnew, stripHeaders } from "./headers";
+import { type BodyOptions, type BodyResult, readBody, type RequestBody } from "./readBody";
 
 /** A request with the place where its answer goes. */
 export interface CallRequest {
@@ -24,6 +24,16 @@
 export const findRequestHeader = (request: CallRequest, name: string): string | undefined =>
     findHeader(request.rawHeaders, name);
 
+/** Creates the headers that go on with a request; a streamed body keeps its stated length. */
+export const createForwardHeaders = (request: CallRequest, body: RequestBody): string[] => {
+    const rawHeaders = stripHeaders(request.rawHeaders, requestHeadersSetAnew);
+    const length = findRequestHeader(request, "content-length");
+    if (length !== undefined && body !== undefined && !Buffer.isBuffer(body)) {
+        rawHeaders.push("content-length", length);
+    }
+    return rawHeaders;
+};
+
 /** A request over HTTP. */
 export class HttpCallRequest implements CallRequest {
     readonly method: string;
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -1,4 +1,5 @@
 /** Refusals and errors as application/problem+json (RFC 9457). */
+import { refusalRetryAfterSeconds } from "../../constants";
 import { type Outcome } from "../../types";
 import { type AnswerHead, type AnswerSink } from "./answerSink";
 import { outcomeHeader } from "./headers";
@@ -65,6 +66,23 @@
     "upstream-unframed": "The upstream's answer has no length, so that it can't be told whether it is whole",
 };
 
+/** Creates the answer of a node that has no policy yet. */
+export const createNoPolicyProblem = (outcome: Outcome): Problem => ({
+    status: 503,
+    reason: "no-policy",
+    outcome,
+    detail: "this node has not read a policy yet",
+    retryAfterSeconds: refusalRetryAfterSeconds,
+});
+
+/** Creates the answer to a request for which the policy declares no route. */
+export const createUnknownRouteProblem = (method: string, service: string): Problem => ({
+    status: 404,
+    reason: "unknown-route",
+    outcome: "not-run",
+    detail: `${method} is not declared for this path of ${service}`,
+});
+
 /** Creates the answer to a request whose body passed the bound while it was sent on. */
 export const createGrownBodyProblem = (outcome: Outcome): Problem => ({
     status: 413,
--- a/src/tasks/admission/index.ts
+++ b/src/tasks/admission/index.ts
@@ -69,13 +69,6 @@
         this.policy = policy;
     }
 
-    /** Starts the limit anew, as after a restart of the upstream. */
-    startCold(): void {
-        if (this.policy) {
-            this.limitState = this.law.start(this.policy);
-        }
-    }
-
     /** Share of the limit that is in use, 0 to 1; 1 means that a request which is not critical would have to wait. */
     computeLoad(): number {
         const isRoomy = this.countQueued() === 0 && hasFreeSlot("normal", this.readOccupation());
--- a/src/tasks/egress/index.ts
+++ b/src/tasks/egress/index.ts
@@ -1,13 +1,13 @@
 /** Serves the calls that the local upstream makes to other services. */
-import { defaultDeadlineMs, refusalRetryAfterSeconds } from "../../constants";
+import { defaultDeadlineMs } from "../../constants";
 import { computeHome } from "../../decisions/computeHome";
 import { mergeImportance } from "../../decisions/mergeImportance";
 import { parseDeadline } from "../../decisions/parseDeadline";
 import { type Settings } from "../../settings/types";
-import { type CallRequest, findRequestHeader } from "../_lib/callRequest";
+import { type CallRequest, createForwardHeaders, findRequestHeader } from "../_lib/callRequest";
 import { type Clock } from "../_lib/clock";
-import { actionHeader, callHeader, deadlineHeader, requestHeadersSetAnew, stripHeaders } from "../_lib/headers";
-import { type Problem, sendProblem } from "../_lib/problem";
+import { actionHeader, callHeader, deadlineHeader } from "../_lib/headers";
+import { createNoPolicyProblem, createUnknownRouteProblem, type Problem, sendProblem } from "../_lib/problem";
 import { type RequestBody } from "../_lib/readBody";
 import { type Forwarder } from "../forwarder";
 import { type Ledger } from "../ledger";
@@ -87,23 +87,16 @@
         });
     }
 
-    private describeNoMatch(target: Target, method: string): Omit<Problem, "outcome"> {
+    private describeNoMatch(target: Target, method: string): Problem {
         const { inForce } = this.parts.policy;
         if (!inForce) {
-            return {
-                status: 503,
-                reason: "no-policy",
-                detail: "this node has not read a policy yet",
-                retryAfterSeconds: refusalRetryAfterSeconds,
-            };
+            return createNoPolicyProblem("not-run");
         }
-        return inForce.policy.services[target.service]
-            ? {
-                status: 404,
-                reason: "unknown-route",
-                detail: `${method} is not declared for this path of ${target.service}`,
-            }
-            : { status: 404, reason: "unknown-service", detail: `the policy has no service "${target.service}"` };
+        if (inForce.policy.services[target.service]) {
+            return createUnknownRouteProblem(method, target.service);
+        }
+        const detail = `the policy has no service "${target.service}"`;
+        return { status: 404, reason: "unknown-service", outcome: "not-run", detail };
     }
 
     private forward(matched: MatchedCall): void {
@@ -119,7 +112,7 @@
             importance: mergeImportance(payer.importance, match.route.importance),
             method: request.method,
             path: target.path,
-            rawHeaders: createForwardHeaders(matched, key),
+            rawHeaders: createKeyedHeaders(matched, key),
             body,
             repeatable: match.route.idempotent || key !== undefined,
             home: key === undefined ? undefined : computeHome(payer.caller, key, endpoints),
@@ -158,16 +151,12 @@
 const readKey = (request: CallRequest, match: RouteMatch): string | undefined =>
     match.route.idempotent ? undefined : findRequestHeader(request, "idempotency-key");
 
-const createForwardHeaders = (matched: MatchedCall, key: string | undefined): readonly string[] => {
+const createKeyedHeaders = (matched: MatchedCall, key: string | undefined): readonly string[] => {
     const { request, body } = matched;
-    const rawHeaders = stripHeaders(request.rawHeaders, requestHeadersSetAnew);
+    const rawHeaders = createForwardHeaders(request, body);
     if (key !== undefined && findRequestHeader(request, "idempotency-key") === undefined) {
         rawHeaders.push("idempotency-key", key);
     }
-    const length = findRequestHeader(request, "content-length");
-    if (length !== undefined && body !== undefined && !Buffer.isBuffer(body)) {
-        rawHeaders.push("content-length", length);
-    }
     return rawHeaders;
 };
 
--- a/src/tasks/forwarder/forwardedCall.ts
+++ b/src/tasks/forwarder/forwardedCall.ts
@@ -203,9 +203,12 @@
     }
 
     private tryRetry(end: AttemptEnd, refusedBelow = false): boolean {
+        const backoffMs = computeBackoff(this.attempts, this.parts.sampleRandom());
+        if (end === "completed") {
+            return false;
+        }
         const isHomed = this.order.home !== undefined;
         const candidates = countRoomy(this.listCandidates(), isHomed ? [] : this.tried);
-        const backoffMs = computeBackoff(this.attempts, this.parts.sampleRandom());
         const isAllowed = decideRetry({
             end,
             recorded: isHomed,
--- a/src/tasks/ingress/index.ts
+++ b/src/tasks/ingress/index.ts
@@ -4,9 +4,9 @@
 import { type Settings } from "../../settings/types";
 import { type Outcome } from "../../types";
 import { type Dispatch } from "../_lib/attempt";
-import { type CallRequest, findRequestHeader } from "../_lib/callRequest";
+import { type CallRequest, createForwardHeaders, findRequestHeader } from "../_lib/callRequest";
 import { type Clock } from "../_lib/clock";
-import { actionHeader, leavingHeader, nodeHeader, requestHeadersSetAnew, stripHeaders } from "../_lib/headers";
+import { actionHeader, leavingHeader, nodeHeader } from "../_lib/headers";
 import { type Problem, sendProblem } from "../_lib/problem";
 import { type RequestBody } from "../_lib/readBody";
 import { type TimerWheel } from "../_lib/timerWheel";
@@ -23,7 +23,7 @@
 import { type Shedder } from "../shedder";
 import { computeFingerprint, serveKeyed, TeeSink } from "./keyedRequest";
 import { type Incoming, matchRequest, type Origin } from "./matchRequest";
-import { canBegin, createShedProblem, describeRefusal, leavingProblem, unsureHomeProblem } from "./refusals";
+import { describeRefusal, findEntryRefusal, unsureHomeProblem } from "./refusals";
 import { ServedCall, type ServeOrder } from "./servedCall";
 
 /** The tasks that the ingress works with. */
@@ -91,16 +91,13 @@
     }
 
     private handleUnkeyed(incoming: Incoming): void {
-        if (this.parts.isDraining()) {
-            this.refuse(incoming, leavingProblem);
-            return;
-        }
         const { call, match } = incoming;
-        if (!canBegin(call, match, this.parts.shedder)) {
-            this.refuse(incoming, createShedProblem(match, this.parts.shedder));
+        const refusal = findEntryRefusal(call, match, this.parts);
+        if (refusal) {
+            this.refuse(incoming, refusal);
             return;
         }
-        if (this.parts.admission.isFull(incoming.call.importance)) {
+        if (this.parts.admission.isFull(call.importance)) {
             this.refuse(incoming, describeRefusal("overloaded"));
             return;
         }
@@ -201,7 +198,7 @@
             importance: call.importance,
             method: request.method,
             path: request.url,
-            rawHeaders: stripHeaders(request.rawHeaders, requestHeadersSetAnew),
+            rawHeaders: createForwardHeaders(request, body),
             body,
             repeatable: true,
             home,
@@ -240,11 +237,7 @@
 
 const createServeOrder = (incoming: Incoming, body: RequestBody): Omit<ServeOrder, "sink" | "finish"> => {
     const { call, match, request, origin } = incoming;
-    const rawHeaders = stripHeaders(request.rawHeaders, requestHeadersSetAnew);
-    const length = findRequestHeader(request, "content-length");
-    if (length !== undefined && body !== undefined && !Buffer.isBuffer(body)) {
-        rawHeaders.push("content-length", length);
-    }
+    const rawHeaders = createForwardHeaders(request, body);
     const { method, url: path } = request;
     const kind = match.route.idempotent ? "idempotent" : incoming.key === undefined ? "unkeyed" : "keyed";
     return { call, match, method, path, rawHeaders, body, kind, forPeer: origin === "peer" };
--- a/src/tasks/ingress/matchRequest.ts
+++ b/src/tasks/ingress/matchRequest.ts
@@ -1,11 +1,10 @@
 /** Matches a request with the policy in force, before anything is done for it. */
-import { refusalRetryAfterSeconds } from "../../constants";
 import { identifyCaller } from "../../decisions/identifyCaller";
 import { type Settings } from "../../settings/types";
 import { type CallRequest, findRequestHeader } from "../_lib/callRequest";
 import { type Clock } from "../_lib/clock";
 import { createEntryCall, createPeerCall } from "../_lib/createCall";
-import { type Problem } from "../_lib/problem";
+import { createNoPolicyProblem, createUnknownRouteProblem, type Problem } from "../_lib/problem";
 import { type PolicyTask } from "../policy";
 import { type Call, type RouteMatch } from "../types";
 
@@ -41,21 +40,6 @@
 const readKey = (request: CallRequest, match: RouteMatch): string | undefined =>
     match.route.idempotent ? undefined : findRequestHeader(request, "idempotency-key");
 
-const describeNoPolicy = (request: CallRequest): Problem => ({
-    status: 503,
-    reason: "no-policy",
-    outcome: findRequestHeader(request, "idempotency-key") === undefined ? "not-run" : "may-have-run",
-    detail: "this node has not read a policy yet",
-    retryAfterSeconds: refusalRetryAfterSeconds,
-});
-
-const describeUnknownRoute = (request: CallRequest, service: string): Problem => ({
-    status: 404,
-    reason: "unknown-route",
-    outcome: "not-run",
-    detail: `${request.method} is not declared for this path of ${service}`,
-});
-
 const unknownCaller: Problem = {
     status: 401,
     reason: "unknown-caller",
@@ -73,11 +57,12 @@
     const { settings, clock, policy, createId } = parts;
     const startedAtMs = clock.readMonotonicMs();
     if (!policy.inForce) {
-        return refuse(describeNoPolicy(request));
+        const hasKey = findRequestHeader(request, "idempotency-key") !== undefined;
+        return refuse(createNoPolicyProblem(hasKey ? "may-have-run" : "not-run"));
     }
     const match = policy.findRoute(settings.service, request.method, request.url);
     if (!match) {
-        return refuse(describeUnknownRoute(request, settings.service));
+        return refuse(createUnknownRouteProblem(request.method, settings.service));
     }
     const options = { id: `${settings.endpoint}-${sequence}`, match, clock, createId };
     const { retryLimit } = policy.inForce.policy;
--- a/src/tasks/ingress/refusals.ts
+++ b/src/tasks/ingress/refusals.ts
@@ -37,7 +37,7 @@
 };
 
 /** Answer to new work at an instance that is shutting down. */
-export const leavingProblem: Problem = {
+const leavingProblem: Problem = {
     status: 503,
     reason: "leaving",
     outcome: "not-run",
@@ -66,12 +66,8 @@
     retryAfterSeconds: quarantineRetryAfterSeconds,
 };
 
-/** Whether a request is let in; calls within an action that is under way always are. */
-export const canBegin = (call: Call, match: RouteMatch, shedder: Shedder): boolean =>
-    call.depth > 0 || shedder.canBegin(match.route.name, call.importance, call.action);
-
 /** Creates the answer to an action that would fail for lack of room deep inside. */
-export const createShedProblem = (match: RouteMatch, shedder: Shedder): Problem => {
+const createShedProblem = (match: RouteMatch, shedder: Shedder): Problem => {
     const share = shedder.getShare(match.route.name);
     return {
         status: 503,
@@ -82,6 +78,24 @@
     };
 };
 
+/** What decides whether a node takes new work. */
+export interface EntryParts {
+    readonly shedder: Shedder;
+    readonly isDraining: () => boolean;
+}
+
+/**
+ * Finds the reason for which a request is not let in at all; undefined when it is.
+ * Calls within an action that is under way are never shed.
+ */
+export const findEntryRefusal = (call: Call, match: RouteMatch, parts: EntryParts): Problem | undefined => {
+    if (parts.isDraining()) {
+        return leavingProblem;
+    }
+    const canBegin = call.depth > 0 || parts.shedder.canBegin(match.route.name, call.importance, call.action);
+    return canBegin ? undefined : createShedProblem(match, parts.shedder);
+};
+
 /** Describes an attempt that came to no answer. */
 export const describeBreak = (cause: Exclude<BreakCause, "cancelled">, outcome: Outcome): Problem => {
     if (cause === "timeout") {
--- a/src/tasks/ingress/servedCall.ts
+++ b/src/tasks/ingress/servedCall.ts
@@ -27,15 +27,7 @@
 import { computeSuspectFingerprint, type Quarantine } from "../quarantine";
 import { type Shedder } from "../shedder";
 import { type Call, type RouteMatch } from "../types";
-import {
-    canBegin,
-    createShedProblem,
-    describeBreak,
-    describeRefusal,
-    lateProblem,
-    leavingProblem,
-    quarantinedProblem,
-} from "./refusals";
+import { describeBreak, describeRefusal, findEntryRefusal, lateProblem, quarantinedProblem } from "./refusals";
 
 /** What served calls share. */
 export interface ServingParts {
@@ -93,12 +85,9 @@
             this.refuseLate();
             return;
         }
-        if (this.parts.isDraining()) {
-            this.refuseWith(leavingProblem);
-            return;
-        }
-        if (!canBegin(this.order.call, this.order.match, this.parts.shedder)) {
-            this.refuseWith(createShedProblem(this.order.match, this.parts.shedder));
+        const refusal = findEntryRefusal(this.order.call, this.order.match, this.parts);
+        if (refusal) {
+            this.refuseWith(refusal);
             return;
         }
         if (this.isQuarantined()) {
@@ -235,7 +224,7 @@
             return;
         }
         this.finished = true;
-        const headers = this.createOwnHeaders(problem.outcome).slice(2);
+        const headers = this.createOwnHeaders();
         if (problem.reason === "shed" && this.order.forPeer) {
             headers.push(refusedBelowHeader, "1");
         }
@@ -270,13 +259,13 @@
         if (outcome === "not-run" && findHeader(headers, "retry-after") === undefined) {
             headers.push("Retry-After", String(refusalRetryAfterSeconds));
         }
-        headers.push(...this.createOwnHeaders(outcome));
+        headers.push(outcomeHeader, outcome, ...this.createOwnHeaders());
         return headers;
     }
 
-    private createOwnHeaders(outcome: Outcome): string[] {
+    private createOwnHeaders(): string[] {
         const { call, forPeer } = this.order;
-        const headers = [outcomeHeader, outcome, actionHeader, call.action];
+        const headers = [actionHeader, call.action];
         if (this.parts.isDraining()) {
             headers.push(leavingHeader, "1", "Connection", "close");
         }
--- a/src/tasks/ingress/test.ts
+++ b/src/tasks/ingress/test.ts
@@ -1,7 +1,8 @@
 import { createServer as createTcpServer, type Server as TcpServer } from "node:net";
-import { Agent, request } from "undici";
+import { request } from "undici";
 import { createPolicy, createServicePolicy } from "../../testing/createPolicy";
-import { awaitCondition, TestGraph, type UpstreamHandler } from "../../testing/startTestGraph";
+import { registerGraph } from "../../testing/registerGraph";
+import { awaitCondition } from "../../testing/startTestGraph";
 
 const route = { importance: "normal", idempotent: true, deadlineMs: 5_000 } as const;
 
@@ -22,37 +23,21 @@
         },
     });
 
-const startGraph = (handler: UpstreamHandler): Promise<TestGraph> =>
-    new TestGraph({ policy: createTestPolicy(), upstreams: { desk: () => handler } }).start();
-
 describe("ingress over real connections", () => {
-    let graph: TestGraph | undefined;
+    const { getAgent, getGraph, start } = registerGraph(createTestPolicy());
     let rawServer: TcpServer | undefined;
-    let agent: Agent;
-
-    beforeEach(() => {
-        agent = new Agent();
-    });
 
-    afterEach(async () => {
-        await agent.destroy();
-        await graph?.stop();
+    afterEach(() => {
         rawServer?.close();
-        graph = undefined;
         rawServer = undefined;
     });
 
-    const start = async (handler: UpstreamHandler): Promise<string> => {
-        graph = await startGraph(handler);
-        return graph.getNode("desk-a").callers;
-    };
-
     /** Starts the graph with an upstream that writes raw bytes and then closes. */
     const startRaw = async (bytes: string): Promise<string> => {
         const origin = await start(() => undefined);
-        const port = graph!.getNode("desk-a").settings.upstream.port;
-        graph!.getNode("desk-a").upstream.closeAllConnections();
-        await new Promise(resolve => graph!.getNode("desk-a").upstream.close(resolve));
+        const port = getGraph().getNode("desk-a").settings.upstream.port;
+        getGraph().getNode("desk-a").upstream.closeAllConnections();
+        await new Promise(resolve => getGraph().getNode("desk-a").upstream.close(resolve));
         rawServer = createTcpServer(socket => {
             socket.on("error", () => undefined);
             socket.once("data", () => socket.end(bytes));
@@ -69,7 +54,7 @@
             response.writeHead(201, { ...headers, "x-kind": name, etag: '"7"' });
             response.end(body);
         });
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         expect(await answer.body.text()).toBe(body);
         expect(answer.statusCode).toBe(201);
         expect(answer.headers["etag"]).toBe('"7"');
@@ -78,14 +63,14 @@
 
     it.each([204, 304])("passes on a status %d without a body", async status => {
         const origin = await start((incoming, response) => response.writeHead(status).end());
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         expect(answer.statusCode).toBe(status);
         expect(await answer.body.text()).toBe("");
     });
 
     it("passes on the answer to HEAD with the length and without the body", async () => {
         const origin = await start((incoming, response) => response.writeHead(200, { "content-length": "500" }).end());
-        const answer = await request(`${origin}/x`, { method: "HEAD", dispatcher: agent });
+        const answer = await request(`${origin}/x`, { method: "HEAD", dispatcher: getAgent() });
         expect(answer.statusCode).toBe(200);
         expect(answer.headers["content-length"]).toBe("500");
         expect(await answer.body.text()).toBe("");
@@ -96,7 +81,7 @@
             response.writeProcessing();
             response.end("final");
         });
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         expect(await answer.body.text()).toBe("final");
     });
 
@@ -108,7 +93,7 @@
             response.end("ok");
         });
         const answer = await request(`${origin}/x`, {
-            dispatcher: agent,
+            dispatcher: getAgent(),
             headers: { te: "trailers", "x-sent": "1", "pomelovalve-retries": "99" },
         });
         await answer.body.text();
@@ -121,19 +106,19 @@
 
     it("never passes a truncated body with a length on as whole", async () => {
         const origin = await startRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         await expect(answer.body.text()).rejects.toThrow();
     });
 
     it("never passes a truncated body in chunks on as whole", async () => {
         const origin = await startRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         await expect(answer.body.text()).rejects.toThrow();
     });
 
     it("refuses an answer whose end can't be told from a broken connection", async () => {
         const origin = await startRaw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nperhaps whole");
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         expect(answer.statusCode).toBe(502);
         expect(await answer.body.json()).toMatchObject({ type: "urn:pomelovalve:upstream-unframed" });
     });
@@ -141,7 +126,7 @@
     it("tells a request as not run when the upstream refuses the connection, with when to come back", async () => {
         const origin = await startRaw("");
         await new Promise(resolve => rawServer!.close(resolve));
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         expect(answer.statusCode).toBe(503);
         expect(answer.headers["retry-after"]).toBe("1");
         expect(answer.headers["content-type"]).toBe("application/problem+json");
@@ -150,7 +135,7 @@
 
     it("tells a request as possibly run when the upstream breaks off before its answer", async () => {
         const origin = await startRaw("");
-        const answer = await request(`${origin}/x`, { dispatcher: agent });
+        const answer = await request(`${origin}/x`, { dispatcher: getAgent() });
         expect(await answer.body.json()).toMatchObject({ status: 502, outcome: "may-have-run" });
     });
 
@@ -162,21 +147,24 @@
             });
         });
         const controller = new AbortController();
-        const sent = request(`${origin}/x`, { dispatcher: agent, signal: controller.signal });
-        await awaitCondition(() => graph!.getNode("desk-a").node.readStatus().inFlight === 1, "request in flight");
+        const sent = request(`${origin}/x`, { dispatcher: getAgent(), signal: controller.signal });
+        await awaitCondition(() => getGraph().getNode("desk-a").node.readStatus().inFlight === 1, "request in flight");
         controller.abort();
         await expect(sent).rejects.toThrow();
         await awaitCondition(() => closed, "upstream's request closed");
-        await awaitCondition(() => graph!.getNode("desk-a").node.readStatus().inFlight === 0, "slot given back");
+        await awaitCondition(() => getGraph().getNode("desk-a").node.readStatus().inFlight === 0, "slot given back");
     });
 
     it("answers 504 at the deadline that the caller states, and frees the slot", async () => {
         const origin = await start(() => undefined);
-        const answer = await request(`${origin}/x`, { dispatcher: agent, headers: { "pomelovalve-deadline": "50" } });
+        const answer = await request(`${origin}/x`, {
+            dispatcher: getAgent(),
+            headers: { "pomelovalve-deadline": "50" },
+        });
         expect(answer.statusCode).toBe(504);
         expect(answer.headers["pomelovalve-outcome"]).toBe("may-have-run");
         await answer.body.dump();
-        expect(graph!.getNode("desk-a").node.readStatus().inFlight).toBe(0);
+        expect(getGraph().getNode("desk-a").node.readStatus().inFlight).toBe(0);
     });
 
     it("finishes what is in flight and what waits before a shutdown, and refuses new work as not run", async () => {
@@ -184,13 +172,16 @@
         const origin = await start((incoming, response) => {
             finishes.push(() => response.end("whole"));
         });
-        const { node } = graph!.getNode("desk-a");
-        const sent = [1, 2].map(number => request(`${origin}/${number}`, { dispatcher: agent }));
+        const { node } = getGraph().getNode("desk-a");
+        const sent = [1, 2].map(number => request(`${origin}/${number}`, { dispatcher: getAgent() }));
         await awaitCondition(() => node.readStatus().inFlight === 1 || finishes.length === 2, "in flight");
-        const late = await request(`${origin}/warm`, { dispatcher: agent, headers: { "pomelovalve-deadline": "20" } });
+        const late = await request(`${origin}/warm`, {
+            dispatcher: getAgent(),
+            headers: { "pomelovalve-deadline": "20" },
+        });
         await late.body.dump();
         const drained = node.drain();
-        const refused = await request(`${origin}/new`, { dispatcher: agent });
+        const refused = await request(`${origin}/new`, { dispatcher: getAgent() });
         expect(refused.headers["pomelovalve-leaving"]).toBe("1");
         expect(await refused.body.json()).toMatchObject({ type: "urn:pomelovalve:leaving", outcome: "not-run" });
         const timer = setInterval(() => finishes.forEach(finish => finish()), 5);
