Serve the users' platform: a relay of requests between nodes, and the adapter

Cause: the product knew requests by idempotency keys and upstreams by a policy that it published itself; the platform has neither. The relay routes by a published table, chooses an upstream by its expected answer time, queues by due time in front of the local upstream's slots, and moves a request on only when it surely has not run.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,28 +1,11 @@
-import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
+import { bundle, root, version } from "./bundle.mjs";
 
-const root = new URL("..", import.meta.url).pathname;
 const dist = `${root}dist`;
 const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const require = createRequire(import.meta.url);
-const { version } = require("../package.json");
-
-/** Bundles one entry file into one CommonJS file. */
-const bundle = (entry, outfile) =>
-    build({
-        entryPoints: [`${root}${entry}`],
-        outfile: `${dist}/${outfile}`,
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "cjs",
-        minifySyntax: true,
-        legalComments: "none",
-        logLevel: "warning",
-        define: { "process.env.POMELOVALVE_VERSION": JSON.stringify(version) },
-    });
 
 /** Puts a bundle into a copy of the Node.js program, as a single executable. */
 const buildExecutable = (bundleFile, name) => {
@@ -53,9 +36,9 @@
 
 mkdirSync(dist, { recursive: true });
 await Promise.all([
-    bundle("src/main.ts", "pomelovalve.cjs"),
-    bundle("src/standins/main.ts", "standins.cjs"),
-    bundle("bench/main.ts", "bench.cjs"),
+    bundle("src/main.ts", `${dist}/pomelovalve.cjs`),
+    bundle("src/standins/main.ts", `${dist}/standins.cjs`),
+    bundle("bench/main.ts", `${dist}/bench.cjs`),
 ]);
 buildExecutable("pomelovalve.cjs", "pomelovalve");
 process.stdout.write(`built ${dist}/pomelovalve ${version}\n`);
--- /dev/null
+++ b/src/decisions/decideRepeat/index.ts
@@ -0,0 +1,53 @@
+import { type HopResult } from "../../relay/types";
+
+/** What a repeat of a request depends on. */
+export interface RepeatInput {
+    readonly result: HopResult;
+    readonly idempotent: boolean;
+    /** Upstreams that the request has been sent to. */
+    readonly upstreamsTried: number;
+    readonly maxUpstreams: number;
+    /** Places that have said that they did not run it, without its reaching an upstream. */
+    readonly refusals: number;
+    /** Milliseconds until nobody waits for the answer any more. */
+    readonly remainingMs: number;
+    /** Time in which an answer can be expected, in milliseconds. */
+    readonly expectedMs: number;
+}
+
+/** What to do after an attempt. */
+export type RepeatDecision =
+    /** Pass the result on. */
+    | "give-up"
+    /** Try elsewhere; the request has not reached an upstream, so that nothing is repeated. */
+    | "move"
+    /** Send to a second upstream, if the allowance permits. */
+    | "repeat";
+
+/** Nodes that may refuse one request before the caller is told so. */
+const maxRefusals = 3;
+const firstServerError = 500;
+
+const isUnreached = (result: HopResult): boolean =>
+    result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved";
+
+/** Decides what follows an attempt: a request is sent again only when that can neither run it twice nor be in vain. */
+export const decideRepeat = (input: RepeatInput): RepeatDecision => {
+    const { result, idempotent, upstreamsTried, maxUpstreams, refusals, remainingMs, expectedMs } = input;
+    if (result.kind === "answered" && (result.head.status < firstServerError || result.refusedBelow)) {
+        return "give-up";
+    }
+    if (result.kind === "not-run" && (result.reason === "expired" || result.reason === "quarantined")) {
+        return "give-up";
+    }
+    if (remainingMs < expectedMs) {
+        return "give-up";
+    }
+    if (isUnreached(result)) {
+        return refusals < maxRefusals ? "move" : "give-up";
+    }
+    if (result.kind !== "not-run" && !idempotent) {
+        return "give-up";
+    }
+    return upstreamsTried < maxUpstreams ? "repeat" : "give-up";
+};
--- /dev/null
+++ b/src/relay/entry/index.ts
@@ -0,0 +1,58 @@
+/** Takes requests of callers and of the local upstream, and sees each to its final answer. */
+import { type CallRequest } from "../../tasks/_lib/callRequest";
+import { type TimerWheel } from "../../tasks/_lib/timerWheel";
+import { type RepeatBudgets } from "../_lib/repeatBudgets";
+import { type DecisionLog } from "../log";
+import { type RelayMetrics } from "../metrics";
+import { type RoutingInForce } from "../routing";
+import { type Shedding } from "../shedding";
+import { type HeaderNames, type HopOrder, type HopOwner, type LoadReport } from "../types";
+import { type UpstreamDirectory } from "../upstreamDirectory";
+import { EntryCall } from "./entryCall";
+
+/** Sends a request to one upstream; returns what gives it up. */
+export type SendHop = (
+    order: HopOrder,
+    owner: HopOwner,
+    onReport: (report: LoadReport) => void,
+) => (cause: "timeout" | "cancelled" | "connection") => void;
+
+/** What the entry works with. */
+export interface EntryParts {
+    readonly names: HeaderNames;
+    /** Service of the instance on which requests begin. */
+    readonly readService: () => string;
+    readonly routing: RoutingInForce;
+    readonly directory: UpstreamDirectory;
+    readonly shedding: Shedding;
+    readonly budgets: RepeatBudgets;
+    readonly wheel: TimerWheel;
+    readonly log: DecisionLog;
+    readonly metrics: RelayMetrics;
+    readonly sendHop: SendHop;
+    readonly isStopping: () => boolean;
+    readonly readNowMs: () => number;
+    /** Draws a number in [0, 1). */
+    readonly sampleRandom: () => number;
+}
+
+/** Owns the requests that have no final answer yet. */
+export class Entry {
+    private inFlight = 0;
+
+    constructor(private readonly parts: EntryParts) {}
+
+    /** Number of requests without their final answer. */
+    get pending(): number {
+        return this.inFlight;
+    }
+
+    /** Handles a request; `nested` tells that the local upstream made it while it served another one. */
+    handle(request: CallRequest, nested: boolean): void {
+        this.inFlight += 1;
+        const call = new EntryCall(request, nested, this.parts, () => {
+            this.inFlight -= 1;
+        });
+        call.start();
+    }
+}
--- /dev/null
+++ b/src/relay/hop/headers.ts
@@ -0,0 +1,117 @@
+/** The header by which nodes tell each other about a request and its answer: fields separated by spaces. */
+import { findHeader } from "../../tasks/_lib/headers";
+import { type HopOrder, type LoadReport, type NotRunReason } from "../types";
+
+/** Name of the header. */
+export const hopHeader = "pomelovalve-hop";
+
+/** What one node tells another of a request. */
+export type HopRequestFields = Pick<
+    HopOrder,
+    "route" | "callerService" | "upstreamId" | "idempotent" | "nested" | "rank" | "targetLatencyMs"
+> & {
+    readonly remainingMs: number;
+    /** Version of the routing table that the sender has in force, 0 for none. */
+    readonly version: number;
+};
+
+/** What the node of an upstream says became of a request. */
+export type HopOutcome =
+    | { readonly kind: "ran"; readonly refusedBelow: boolean; }
+    | { readonly kind: "not-run"; readonly reason: NotRunReason; }
+    | { readonly kind: "may-have-run"; };
+
+/** An answer's outcome with the report on the upstream. */
+export interface HopAnswerFields {
+    readonly outcome: HopOutcome;
+    readonly report: LoadReport;
+}
+
+const requestFieldCount = 9;
+const answerFieldCount = 8;
+const refusedBelowWord = "ran-refused-below";
+const notRunPrefix = "not-run:";
+
+/** Encodes what goes with a request. */
+export const encodeHopRequest = (order: HopRequestFields): string =>
+    [
+        Math.max(0, Math.floor(order.remainingMs)),
+        order.callerService,
+        order.upstreamId,
+        order.idempotent ? "i" : "u",
+        order.nested ? "n" : "d",
+        order.rank,
+        order.targetLatencyMs,
+        order.route,
+        order.version,
+    ].join(" ");
+
+/** Parses what came with a request; undefined when another node did not send it. */
+export const parseHopRequest = (rawHeaders: readonly string[]): HopRequestFields | undefined => {
+    const fields = findHeader(rawHeaders, hopHeader)?.split(" ") ?? [];
+    if (fields.length !== requestFieldCount) {
+        return undefined;
+    }
+    const [remaining, callerService, upstreamId, kind, origin, rank, target, route, version] = fields as string[];
+    return {
+        remainingMs: Number(remaining),
+        callerService: callerService!,
+        upstreamId: upstreamId!,
+        idempotent: kind === "i",
+        nested: origin === "n",
+        rank: Number(rank),
+        targetLatencyMs: Number(target),
+        route: route!,
+        version: Number(version),
+    };
+};
+
+const describeOutcome = (outcome: HopOutcome): string => {
+    if (outcome.kind === "ran") {
+        return outcome.refusedBelow ? refusedBelowWord : "ran";
+    }
+    return outcome.kind === "not-run" ? `${notRunPrefix}${outcome.reason}` : "may-have-run";
+};
+
+const parseOutcome = (word: string): HopOutcome => {
+    if (word === "ran" || word === refusedBelowWord) {
+        return { kind: "ran", refusedBelow: word === refusedBelowWord };
+    }
+    return word.startsWith(notRunPrefix)
+        ? { kind: "not-run", reason: word.slice(notRunPrefix.length) as NotRunReason }
+        : { kind: "may-have-run" };
+};
+
+/** Encodes what goes with an answer. */
+export const encodeHopAnswer = ({ outcome, report }: HopAnswerFields): string =>
+    [
+        describeOutcome(outcome),
+        report.congestion.toFixed(2),
+        report.inFlight,
+        report.queued,
+        report.limit,
+        report.meanMs.toFixed(1),
+        report.leaving ? 1 : 0,
+        report.version,
+    ].join(" ");
+
+/** Parses what came with an answer; undefined when no node of the system wrote it. */
+export const parseHopAnswer = (rawHeaders: readonly string[]): HopAnswerFields | undefined => {
+    const fields = findHeader(rawHeaders, hopHeader)?.split(" ") ?? [];
+    if (fields.length !== answerFieldCount) {
+        return undefined;
+    }
+    const [word, congestion, inFlight, queued, limit, meanMs, leaving, version] = fields as string[];
+    return {
+        outcome: parseOutcome(word!),
+        report: {
+            congestion: Number(congestion),
+            inFlight: Number(inFlight),
+            queued: Number(queued),
+            limit: Number(limit),
+            meanMs: Number(meanMs),
+            leaving: leaving === "1",
+            version: Number(version),
+        },
+    };
+};
--- /dev/null
+++ b/src/relay/hop/remoteHop.ts
@@ -0,0 +1,92 @@
+/** A request on its way to the node of another instance. */
+import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
+import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
+import { noHeaders, stripHeaders } from "../../tasks/_lib/headers";
+import { AnswerBuffer } from "../_lib/answerBuffer";
+import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
+import { encodeHopRequest, type HopAnswerFields, hopHeader, parseHopAnswer } from "./headers";
+
+/** What a remote hop works with. */
+export interface RemoteHopParts {
+    readonly pool: Dispatch;
+    readonly readNowMs: () => number;
+    /** Version of the routing table in force here. */
+    readonly readVersion: () => number;
+    /** Told of each report that comes with an answer. */
+    readonly onReport: (report: LoadReport) => void;
+}
+
+/** Time by which the other node has to be done earlier, in milliseconds: the way back of its last word. */
+const hopMarginMs = 3;
+
+/** Owns one request at one other node. */
+export class RemoteHop implements AttemptOwner {
+    private readonly attempt: Attempt;
+    private readonly buffer: AnswerBuffer;
+    private answer: HopAnswerFields | undefined;
+    private head: AnswerHead | undefined;
+
+    constructor(
+        private readonly order: HopOrder,
+        private readonly owner: HopOwner,
+        private readonly parts: RemoteHopParts,
+    ) {
+        this.attempt = new Attempt(order.method, this);
+        this.buffer = new AnswerBuffer(head => owner.openStream(head));
+    }
+
+    start(): void {
+        const { order, parts } = this;
+        const version = parts.readVersion();
+        const remainingMs = order.deadlineAtMs - parts.readNowMs() - hopMarginMs;
+        const rawHeaders = [...order.rawHeaders, hopHeader, encodeHopRequest({ ...order, remainingMs, version })];
+        const { method, path, body, idempotent } = order;
+        sendAttempt(parts.pool, { method, path, rawHeaders, body, idempotent }, this.attempt);
+    }
+
+    /** Gives the request up; the owner is told what may have become of it. */
+    cancel(cause: "timeout" | "cancelled" | "connection"): void {
+        this.attempt.abort(cause);
+    }
+
+    takeAnswer(head: AnswerHead): AnswerSink | undefined {
+        this.answer = parseHopAnswer(head.rawHeaders);
+        this.head = { status: head.status, rawHeaders: stripHeaders(head.rawHeaders, noHeaders) };
+        if (this.answer) {
+            this.parts.onReport(this.answer.report);
+        }
+        if (this.answer?.outcome.kind !== "ran") {
+            return undefined;
+        }
+        this.buffer.start(this.head);
+        return this.buffer;
+    }
+
+    finish(result: AttemptResult): void {
+        this.owner.settle(this.deriveResult(result));
+    }
+
+    private deriveResult(result: AttemptResult): HopResult {
+        if (result.kind === "unsent") {
+            return result.cause === "connection"
+                ? { kind: "not-run", reason: "unreachable" }
+                : { kind: "not-run", reason: "expired" };
+        }
+        const outcome = this.answer?.outcome;
+        if (outcome?.kind === "not-run") {
+            return outcome;
+        }
+        if (result.kind === "broken") {
+            return { kind: "may-have-run", cause: result.cause };
+        }
+        if (outcome?.kind !== "ran") {
+            return { kind: "may-have-run", cause: outcome ? "connection" : "foreign-answer" };
+        }
+        return {
+            kind: "answered",
+            head: this.head!,
+            body: this.buffer.takeBody(),
+            refusedBelow: outcome.refusedBelow,
+        };
+    }
+}
--- /dev/null
+++ b/src/relay/ingress/index.ts
@@ -0,0 +1,142 @@
+/** Serves requests of other nodes, and of this node's own entry, at the local upstream. */
+import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
+import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
+import { findHeader, isBodiless } from "../../tasks/_lib/headers";
+import { encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
+import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
+import { ServedHop, type ServedHopParts } from "./servedHop";
+
+/** What the ingress works with. */
+export interface IngressParts extends ServedHopParts {
+    readonly maxBodyBytes: () => number;
+    /** Counts a request of a route, for the estimate of the calls that it leads to. */
+    readonly countRequest: (route: string) => void;
+    /** Computes what other nodes are told of the upstream, for requests of a route. */
+    readonly createReport: (order: Pick<HopOrder, "route" | "nested" | "targetLatencyMs">) => LoadReport;
+    /** Told which routing version a node at a host has in force. */
+    readonly onVersionSeen: (host: string, version: number) => void;
+    /** Whether the node takes no new work. */
+    readonly isLeaving: () => boolean;
+}
+
+const unavailableStatus = 503;
+const badGatewayStatus = 502;
+const badRequestStatus = 400;
+
+/** Owns the requests at the local upstream. */
+export class Ingress {
+    private inFlight = 0;
+
+    constructor(private readonly parts: IngressParts) {}
+
+    /** Number of requests without a result. */
+    get pending(): number {
+        return this.inFlight;
+    }
+
+    /** Serves a request; returns what gives it up. */
+    serve(order: HopOrder, owner: HopOwner): () => void {
+        this.inFlight += 1;
+        const counting: HopOwner = {
+            openStream: head => owner.openStream(head),
+            settle: result => {
+                this.inFlight -= 1;
+                owner.settle(result);
+            },
+        };
+        if (this.parts.isLeaving()) {
+            counting.settle({ kind: "not-run", reason: "leaving" });
+            return () => undefined;
+        }
+        this.parts.countRequest(order.route);
+        const served = new ServedHop(order, counting, this.parts);
+        served.start();
+        return () => served.cancel();
+    }
+
+    /** Handles a request of the node at a host. */
+    handle(request: CallRequest, peerHost: string): void {
+        const fields = parseHopRequest(request.rawHeaders);
+        if (!fields) {
+            sendWhole(request.sink, badRequestStatus, [], Buffer.alloc(0));
+            return;
+        }
+        this.parts.onVersionSeen(peerHost, fields.version);
+        const deadlineAtMs = this.parts.readNowMs() + fields.remainingMs;
+        let isGone = false;
+        let cancel = (): void => undefined;
+        request.onEarlyClose(() => {
+            isGone = true;
+            cancel();
+        });
+        request.readBody({ whole: false, maxBytes: this.parts.maxBodyBytes() }, result => {
+            if (isGone || result.kind !== "body") {
+                request.sink.abort();
+                return;
+            }
+            const order: HopOrder = {
+                ...fields,
+                requestId: findHeader(request.rawHeaders, this.parts.names.requestId) ?? "",
+                method: request.method,
+                path: request.url,
+                rawHeaders: createForwardHeaders(request, result.body, true),
+                body: result.body,
+                deadlineAtMs,
+            };
+            cancel = this.serve(order, new PeerAnswer(order, request.sink, this.parts));
+        });
+    }
+}
+
+/** Writes the result of a request back to the node that sent it. */
+class PeerAnswer implements HopOwner {
+    constructor(
+        private readonly order: HopOrder,
+        private readonly sink: AnswerSink,
+        private readonly parts: IngressParts,
+    ) {}
+
+    openStream(head: AnswerHead): AnswerSink {
+        const outcome: HopOutcome = { kind: "ran", refusedBelow: false };
+        this.sink.start({ status: head.status, rawHeaders: [...head.rawHeaders, ...this.createHopHeader(outcome)] });
+        return this.sink;
+    }
+
+    settle(result: HopResult): void {
+        if (result.kind !== "answered") {
+            const outcome: HopOutcome = result.kind === "not-run" ? result : { kind: "may-have-run" };
+            const status = result.kind === "not-run" ? unavailableStatus : badGatewayStatus;
+            sendWhole(this.sink, status, this.createHopHeader(outcome), Buffer.alloc(0));
+            return;
+        }
+        if (!result.body) {
+            return;
+        }
+        const outcome: HopOutcome = { kind: "ran", refusedBelow: result.refusedBelow };
+        const rawHeaders = [...result.head.rawHeaders, ...this.createHopHeader(outcome)];
+        sendAnswer(this.sink, this.order.method, { status: result.head.status, rawHeaders }, result.body);
+    }
+
+    private createHopHeader(outcome: HopOutcome): readonly string[] {
+        return [hopHeader, encodeHopAnswer({ outcome, report: this.parts.createReport(this.order) })];
+    }
+}
+
+const sendWhole = (sink: AnswerSink, status: number, rawHeaders: readonly string[], body: Buffer): void =>
+    sendAnswer(sink, "GET", { status, rawHeaders }, body);
+
+const removeLength = (rawHeaders: readonly string[]): readonly string[] =>
+    rawHeaders.filter((_, index) => rawHeaders[index - index % 2]!.toLowerCase() !== "content-length");
+
+/** Sends an answer that is there as a whole; its length is stated anew, unless it has no body by its nature. */
+export const sendAnswer = (sink: AnswerSink, method: string, head: AnswerHead, body: Buffer): void => {
+    if (isBodiless(method, head.status)) {
+        sink.start(head);
+        sink.end();
+        return;
+    }
+    const rawHeaders = [...removeLength(head.rawHeaders), "Content-Length", String(body.length)];
+    sink.start({ status: head.status, rawHeaders });
+    sink.write(body);
+    sink.end();
+};
--- /dev/null
+++ b/src/relay/ingress/servedHop.ts
@@ -0,0 +1,190 @@
+/** One request at the local upstream: its slot, its attempt, its answer. */
+import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
+import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
+import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
+import { AnswerBuffer } from "../_lib/answerBuffer";
+import { type SlotApplicant, type SlotQueue } from "../slotQueue";
+import { type HeaderNames, type HopOrder, type HopOwner, type HopResult, type NotRunReason } from "../types";
+
+/** What served requests share. */
+export interface ServedHopParts {
+    readonly names: HeaderNames;
+    readonly upstream: Dispatch;
+    readonly slots: SlotQueue;
+    readonly readNowMs: () => number;
+    /** Whether the request is not to be run, since upstreams have died of it. */
+    readonly isQuarantined: (order: HopOrder) => boolean;
+    /** Told when the upstream's connection broke off during a request, or none could be opened. */
+    readonly onUpstreamLost: (order: HopOrder, sent: boolean) => void;
+    /** Told when the upstream has answered. */
+    readonly onAnswered: (order: HopOrder) => void;
+    /** Whether an error of the upstream is due to one of its calls that this node had to refuse. */
+    readonly takeRefusedBelow: () => boolean;
+}
+
+/** Less time than this is not worth an attempt, in milliseconds. */
+const minAttemptMs = 5;
+/** Time that the upstream's last word needs to get back, in milliseconds. */
+const answerMarginMs = 5;
+const misdirectedStatus = 421;
+const firstServerError = 500;
+const plainEncodings: ReadonlySet<string> = new Set(["", "identity"]);
+
+/** Owns the state of one request at the local upstream. */
+export class ServedHop implements SlotApplicant, AttemptOwner {
+    readonly route: string;
+    readonly nested: boolean;
+    readonly targetLatencyMs: number;
+    readonly deadlineAtMs: number;
+    private withdraw: () => void = () => undefined;
+    private attempt: Attempt | undefined;
+    private readonly buffer: AnswerBuffer;
+    private head: AnswerHead | undefined;
+    private isForeign = false;
+    private settled = false;
+    private startedAtMs = 0;
+
+    constructor(
+        private readonly order: HopOrder,
+        private readonly owner: HopOwner,
+        private readonly parts: ServedHopParts,
+    ) {
+        this.route = order.route;
+        this.nested = order.nested;
+        this.targetLatencyMs = order.targetLatencyMs;
+        this.deadlineAtMs = order.deadlineAtMs;
+        this.buffer = new AnswerBuffer(head => owner.openStream(head));
+    }
+
+    start(): void {
+        if (this.computeRemainingMs() < minAttemptMs) {
+            this.settle({ kind: "not-run", reason: "expired" });
+            return;
+        }
+        if (this.parts.isQuarantined(this.order)) {
+            this.settle({ kind: "not-run", reason: "quarantined" });
+            return;
+        }
+        this.withdraw = this.parts.slots.apply(this);
+    }
+
+    /**
+     * Told that nobody waits for the answer. Work that may be repeated is broken off; what must not run twice goes on to
+     * its end, so that the upstream is not left with half of it.
+     */
+    cancel(): void {
+        if (this.settled) {
+            return;
+        }
+        if (!this.attempt) {
+            this.withdraw();
+            this.settle({ kind: "not-run", reason: "expired" });
+            return;
+        }
+        if (this.order.idempotent) {
+            this.attempt.abort("cancelled");
+        }
+    }
+
+    refuse(reason: "full" | "expired"): void {
+        this.settle({ kind: "not-run", reason });
+    }
+
+    run(): void {
+        this.startedAtMs = this.parts.readNowMs();
+        if (this.computeRemainingMs() < minAttemptMs) {
+            this.releaseSlot(false);
+            this.settle({ kind: "not-run", reason: "expired" });
+            return;
+        }
+        const { method, path, body, idempotent } = this.order;
+        const rawHeaders = this.createHeaders();
+        this.attempt = new Attempt(method, this, true);
+        sendAttempt(this.parts.upstream, { method, path, rawHeaders, body, idempotent }, this.attempt);
+    }
+
+    takeAnswer(head: AnswerHead): AnswerSink | undefined {
+        if (!this.isOwnAnswer(head)) {
+            this.isForeign = true;
+            this.attempt!.abort("unframed");
+            return undefined;
+        }
+        this.head = { status: head.status, rawHeaders: stripHeaders(head.rawHeaders, noHeaders) };
+        this.buffer.start(this.head);
+        return this.buffer;
+    }
+
+    finish(result: AttemptResult): void {
+        this.releaseSlot(result.kind === "answered");
+        if (result.kind === "answered") {
+            this.parts.onAnswered(this.order);
+        }
+        else if (result.cause === "connection") {
+            this.parts.onUpstreamLost(this.order, result.kind === "broken");
+        }
+        this.settle(this.deriveResult(result));
+    }
+
+    private deriveResult(result: AttemptResult): HopResult {
+        if (result.kind === "unsent") {
+            return { kind: "not-run", reason: result.cause === "connection" ? "down" : "expired" };
+        }
+        const reason = this.head && this.findNotRunReason(this.head);
+        if (reason) {
+            return { kind: "not-run", reason };
+        }
+        if (result.kind === "broken") {
+            return { kind: "may-have-run", cause: this.isForeign ? "foreign-answer" : result.cause };
+        }
+        const head = this.head!;
+        const refusedBelow = head.status >= firstServerError && this.parts.takeRefusedBelow();
+        return { kind: "answered", head, body: this.buffer.takeBody(), refusedBelow };
+    }
+
+    private findNotRunReason(head: AnswerHead): NotRunReason | undefined {
+        if (head.status === misdirectedStatus) {
+            return "moved";
+        }
+        return findHeader(head.rawHeaders, this.parts.names.notRun) === undefined ? undefined : "rejected";
+    }
+
+    private isOwnAnswer(head: AnswerHead): boolean {
+        const id = findHeader(head.rawHeaders, this.parts.names.requestId);
+        if (id === undefined && this.findNotRunReason(head)) {
+            return true;
+        }
+        const encoding = findHeader(head.rawHeaders, "content-encoding") ?? "";
+        return id === this.order.requestId && plainEncodings.has(encoding);
+    }
+
+    private createHeaders(): string[] {
+        const { names } = this.parts;
+        const { rawHeaders, upstreamId, callerService } = this.order;
+        const remainingMs = Math.max(1, Math.floor(this.computeRemainingMs() - answerMarginMs));
+        return [
+            ...rawHeaders,
+            names.deadline,
+            String(remainingMs),
+            names.target,
+            upstreamId,
+            names.callerService,
+            callerService,
+        ];
+    }
+
+    private computeRemainingMs(): number {
+        return this.deadlineAtMs - this.parts.readNowMs();
+    }
+
+    private releaseSlot(answered: boolean): void {
+        this.parts.slots.release(this.route, this.parts.readNowMs() - this.startedAtMs, answered);
+    }
+
+    private settle(result: HopResult): void {
+        if (this.settled) {
+            return;
+        }
+        this.settled = true;
+        this.owner.settle(result);
+    }
+}
--- /dev/null
+++ b/src/relay/metrics/index.ts
@@ -0,0 +1,71 @@
+/** Metrics of a relay node, in the format of Prometheus. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { type SlotFigures } from "../slotQueue";
+
+/** Figures that are read when the metrics are scraped. */
+export interface RelayFigures extends SlotFigures {
+    readonly version: number;
+    readonly upstreams: number;
+}
+
+const msPerSecond = 1_000;
+const durationBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Owns the metrics; label sets are bounded by the routes in force and fixed outcomes. */
+export class RelayMetrics {
+    readonly registry = new Registry();
+    private readonly answers = new Counter({
+        name: "pomelovalve_entry_answers_total",
+        help: "Requests that got their final answer at this node's entry, by route, outcome and status.",
+        labelNames: ["route", "outcome", "status"],
+        registers: [this.registry],
+    });
+    private readonly durations = new Histogram({
+        name: "pomelovalve_entry_duration_seconds",
+        help: "Time from reading a request to its final answer, by outcome.",
+        labelNames: ["outcome"],
+        buckets: durationBucketsSeconds,
+        registers: [this.registry],
+    });
+    private readonly repeats = new Counter({
+        name: "pomelovalve_repeats_total",
+        help: "Requests that this node has sent to a second upstream, by called service.",
+        labelNames: ["service"],
+        registers: [this.registry],
+    });
+
+    constructor(readFigures: () => RelayFigures) {
+        const gauges: readonly (readonly [string, string, () => number])[] = [
+            ["pomelovalve_in_flight_requests", "Requests that the local upstream is running.", () =>
+                readFigures().inFlight],
+            ["pomelovalve_queued_requests", "Requests that wait for a slot.", () => readFigures().queued],
+            ["pomelovalve_concurrency_limit", "Requests that the local upstream may run at once.", () =>
+                readFigures().limit],
+            ["pomelovalve_routing_version", "Version of the routing table in force, 0 for none.", () =>
+                readFigures().version],
+            ["pomelovalve_known_upstreams", "Upstreams in the list.", () => readFigures().upstreams],
+            ["pomelovalve_resident_memory_bytes", "Resident memory of the node.", () => process.memoryUsage.rss()],
+        ];
+        gauges.forEach(([name, help, read]) => this.registerGauge(name, help, read));
+    }
+
+    countAnswer(route: string, outcome: string, status: number, durationMs: number): void {
+        this.answers.inc({ route, outcome, status });
+        this.durations.observe({ outcome }, durationMs / msPerSecond);
+    }
+
+    countRepeat(service: string): void {
+        this.repeats.inc({ service });
+    }
+
+    private registerGauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/src/relay/node.ts
@@ -0,0 +1,293 @@
+/** One relay node as a process: its tasks, wired to each other and to their sockets. */
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Logger } from "pino";
+import { createRandom } from "../_lib/createRandom";
+import { type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { HttpCallRequest } from "../tasks/_lib/callRequest";
+import { type Clock, systemClock } from "../tasks/_lib/clock";
+import { closeListener, openListener } from "../tasks/_lib/openListener";
+import { TimerWheel } from "../tasks/_lib/timerWheel";
+import { type Address } from "../types";
+import { RepeatBudgets } from "./_lib/repeatBudgets";
+import { ConnectionPool } from "./connectionPool";
+import { createControlHandler } from "./control";
+import { Entry, type SendHop } from "./entry";
+import { Ingress } from "./ingress";
+import { DecisionLog } from "./log";
+import { RelayMetrics } from "./metrics";
+import { Peers } from "./peers";
+import { PoisonGuard } from "./poisonGuard";
+import { RoutingInForce } from "./routing";
+import { Shedding } from "./shedding";
+import { SlotQueue } from "./slotQueue";
+import { type FleetSource } from "./source";
+import { type HeaderNames, type HopOrder, type LoadReport, type RelaySettings } from "./types";
+import { UpstreamDirectory } from "./upstreamDirectory";
+import { ViewSync } from "./viewSync";
+
+/** After the stop signal, callers are served for this long at least, in milliseconds: they learn of it by readiness. */
+const leaveAfterMs = 2_300;
+/** Quiet at the entry that shows that the callers have gone, in milliseconds. */
+const quietMs = 300;
+/** Margin for closing before the process is killed, in milliseconds. */
+const stopMarginMs = 400;
+const stopPollMs = 20;
+const okStatus = 200;
+const notFoundStatus = 404;
+const unavailableStatus = 503;
+
+/** The process in the slot beside an upstream. */
+export class RelayNode {
+    private readonly wheel: TimerWheel;
+    private readonly log: DecisionLog;
+    private readonly routing: RoutingInForce;
+    private readonly directory: UpstreamDirectory;
+    private readonly shedding: Shedding;
+    private readonly budgets: RepeatBudgets;
+    private readonly slots: SlotQueue;
+    private readonly metrics: RelayMetrics;
+    private readonly peers: Peers;
+    private readonly ingress: Ingress;
+    private readonly entry: Entry;
+    private readonly poison: PoisonGuard;
+    private readonly viewSync: ViewSync;
+    private upstream: ConnectionPool;
+    private servers: readonly Server[] = [];
+    private hasRecords = false;
+    private stoppingSinceMs: number | undefined;
+    private lastEntryMs = 0;
+
+    constructor(
+        private settings: RelaySettings,
+        names: HeaderNames,
+        private readonly source: FleetSource,
+        logger: Logger,
+        private readonly clock: Clock = systemClock,
+    ) {
+        const readNowMs = clock.readMonotonicMs;
+        const sampleRandom = createRandom(process.pid ^ clock.readWallMs());
+        const { repeatRatio: ratio, repeatSlack: slack, repeatWindowMs: windowMs } = settings;
+        this.wheel = new TimerWheel(clock);
+        this.log = new DecisionLog(logger, readNowMs);
+        this.routing = new RoutingInForce(sampleRandom, (table, from) => this.reportAdoption(table, from));
+        this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
+        this.shedding = new Shedding(readNowMs);
+        this.budgets = new RepeatBudgets({ ratio, slack, windowMs }, readNowMs);
+        this.slots = new SlotQueue(this.wheel, readNowMs);
+        this.upstream = new ConnectionPool(settings.upstream, { readNowMs });
+        this.metrics = new RelayMetrics(() => ({
+            ...this.slots.readFigures(),
+            version: this.routing.version,
+            upstreams: this.directory.list().length,
+        }));
+        this.poison = new PoisonGuard(settings.node, clock, {
+            log: this.log,
+            listPeers: () => this.listControlAddresses(this.settings.service),
+        });
+        this.viewSync = new ViewSync({
+            readVersion: () => this.routing.version,
+            controlPort: this.controlAddress.port,
+            onView: (view, host) => {
+                if (view.table) {
+                    this.routing.adopt(view.table, host);
+                }
+                if (!this.hasRecords && view.upstreams.length > 0) {
+                    this.takeUpstreams(view.upstreams);
+                }
+            },
+            readNowMs,
+        });
+        const onVersionSeen = (host: string, version: number): void => this.viewSync.observe(host, version);
+        const readVersion = (): number => this.routing.version;
+        this.peers = new Peers({
+            clock,
+            wheel: this.wheel,
+            port: settings.peers.port,
+            readVersion,
+            onVersionSeen,
+            onSilent: (host, ids) => {
+                ids.forEach(id => this.directory.recordFailure(id));
+                this.log.write("node-silent", { host, upstreams: ids.join(",") });
+            },
+        });
+        this.ingress = new Ingress({
+            names,
+            upstream: { dispatch: (options, handler) => this.upstream.dispatch(options, handler) },
+            slots: this.slots,
+            readNowMs,
+            isQuarantined: order => this.poison.isQuarantined(order),
+            onUpstreamLost: (order, sent) => this.poison.recordLoss(order, sent),
+            onAnswered: order => this.poison.recordAnswer(order),
+            takeRefusedBelow: () => this.shedding.takeRefusedCall(),
+            maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
+            countRequest: route => this.shedding.countRequest(route),
+            createReport: order => this.createReport(order),
+            onVersionSeen,
+            isLeaving: () => this.stoppingSinceMs !== undefined,
+        });
+        this.entry = new Entry({
+            names,
+            readService: () => this.settings.service,
+            routing: this.routing,
+            directory: this.directory,
+            shedding: this.shedding,
+            budgets: this.budgets,
+            wheel: this.wheel,
+            log: this.log,
+            metrics: this.metrics,
+            sendHop: (order, owner, onReport) => this.sendHop(order, owner, onReport),
+            isStopping: () => this.stoppingSinceMs !== undefined,
+            readNowMs,
+            sampleRandom,
+        });
+    }
+
+    /** Opens the listeners and begins to read the source. */
+    async start(): Promise<void> {
+        const { entry, peers, admin } = this.settings;
+        const control = createControlHandler({
+            readView: () => ({ table: this.routing.table, upstreams: this.directory.list() }),
+            receiveSuspect: (fingerprint, node) => this.poison.receive(fingerprint, node),
+        });
+        this.servers = await Promise.all([
+            openListener(entry, (request, response) => this.handleEntry(request, response)),
+            openListener(peers, (request, response) =>
+                this.ingress.handle(
+                    new HttpCallRequest(request, response),
+                    request.socket.remoteAddress ?? "",
+                )),
+            openListener(admin, (request, response) => this.handleAdmin(request, response)),
+            openListener(this.controlAddress, control),
+        ]);
+        this.peers.start();
+        this.source.start({
+            onRouting: table => void this.routing.adopt(table, "platform"),
+            onUpstreams: records => {
+                this.hasRecords = true;
+                this.takeUpstreams(records);
+            },
+            onReached: (reached, detail) =>
+                this.log.writeAlways(reached ? "platform-reached" : "platform-lost", { detail }),
+            onUnreadable: (key, detail) => this.log.write("entry-unreadable", { key, detail }),
+        });
+    }
+
+    /** Takes changed settings over, as far as they may change while the process runs. */
+    updateSettings(settings: RelaySettings): void {
+        const before = this.settings;
+        this.settings = settings;
+        const isMoved = before.upstream.host !== settings.upstream.host
+            || before.upstream.port !== settings.upstream.port;
+        if (isMoved) {
+            this.upstream.close();
+            this.upstream = new ConnectionPool(settings.upstream, { readNowMs: this.clock.readMonotonicMs });
+        }
+        this.log.writeAlways("settings-reloaded", { service: settings.service, upstreamMoved: isMoved });
+        this.takeUpstreams(this.directory.list());
+    }
+
+    /** Takes no new work for the upstream, serves callers until they have gone, and closes everything. */
+    async stop(): Promise<void> {
+        if (this.stoppingSinceMs !== undefined) {
+            return;
+        }
+        const startMs = this.clock.readMonotonicMs();
+        this.stoppingSinceMs = startMs;
+        this.log.writeAlways("stop-requested", { pending: this.entry.pending, atUpstream: this.ingress.pending });
+        while (!this.canClose(startMs)) {
+            await new Promise(resolve => setTimeout(resolve, stopPollMs));
+        }
+        this.log.writeAlways("node-stopping", { pending: this.entry.pending, atUpstream: this.ingress.pending });
+        this.source.stop();
+        await Promise.all(this.servers.map(closeListener));
+        this.peers.stop();
+        this.upstream.destroy();
+        this.wheel.stop();
+    }
+
+    private get controlAddress(): Address {
+        const { host, port } = this.settings.peers;
+        return { host, port: port + 1 };
+    }
+
+    private canClose(startMs: number): boolean {
+        const nowMs = this.clock.readMonotonicMs();
+        if (nowMs - startMs > this.settings.stopGraceMs - stopMarginMs) {
+            return true;
+        }
+        const isIdle = this.entry.pending === 0 && this.ingress.pending === 0;
+        return isIdle && nowMs - startMs > leaveAfterMs && nowMs - this.lastEntryMs > quietMs;
+    }
+
+    private handleEntry(request: IncomingMessage, response: ServerResponse): void {
+        const nested = request.socket.remoteAddress === this.settings.host;
+        this.lastEntryMs = this.clock.readMonotonicMs();
+        this.entry.handle(new HttpCallRequest(request, response), nested);
+    }
+
+    private handleAdmin(request: IncomingMessage, response: ServerResponse): void {
+        if (request.url === this.settings.readinessPath) {
+            const isReady = this.stoppingSinceMs === undefined && this.routing.table !== undefined;
+            response.writeHead(isReady ? okStatus : unavailableStatus).end();
+            return;
+        }
+        if (request.url !== "/metrics") {
+            response.writeHead(notFoundStatus).end();
+            return;
+        }
+        void this.metrics.registry.metrics().then(text => {
+            response.writeHead(okStatus, { "Content-Type": this.metrics.registry.contentType }).end(text);
+        });
+    }
+
+    private sendHop(...[order, owner, onReport]: Parameters<SendHop>): ReturnType<SendHop> {
+        const record = this.directory.find(order.upstreamId);
+        const { host, port } = this.settings.upstream;
+        if (record && record.host === host && record.port === port) {
+            return this.ingress.serve(order, {
+                openStream: head => owner.openStream(head),
+                settle: result => {
+                    onReport(this.createReport(order));
+                    owner.settle(result);
+                },
+            });
+        }
+        return this.peers.send(record?.host ?? "", order, owner, onReport);
+    }
+
+    private createReport(order: Pick<HopOrder, "route" | "nested" | "targetLatencyMs">): LoadReport {
+        const own = this.slots.computeCongestion(order.targetLatencyMs);
+        return {
+            ...this.slots.readFigures(),
+            congestion: Math.max(own, this.shedding.computeBelow(order.route)),
+            leaving: this.stoppingSinceMs !== undefined,
+            version: this.routing.version,
+        };
+    }
+
+    private takeUpstreams(records: readonly UpstreamRecord[]): void {
+        this.directory.update(records);
+        this.budgets.updateNodes(new Set(records.map(({ host }) => host)).size);
+        const { host, port } = this.settings.upstream;
+        const own = this.directory.findAt(host, port);
+        if (own) {
+            this.slots.updateSlots(own.slots);
+        }
+        this.log.write("upstreams-read", {
+            total: records.length,
+            ready: records.filter(({ state }) => state === "ready").length,
+            ownId: own?.id,
+        });
+    }
+
+    private listControlAddresses(service: string): readonly Address[] {
+        return this.directory.list()
+            .filter(record => record.service === service && record.host !== this.settings.host)
+            .map(({ host }) => ({ host, port: this.controlAddress.port }));
+    }
+
+    private reportAdoption(table: RoutingTable, from: string): void {
+        const { version, routes } = table;
+        this.log.writeAlways("routing-adopted", { version, routes: routes.length, source: from });
+    }
+}
--- /dev/null
+++ b/src/relay/poisonGuard.ts
@@ -0,0 +1,77 @@
+/** Keeps requests of which upstreams die from being run again and again, over all nodes of a service. */
+import { type Clock } from "../tasks/_lib/clock";
+import { MessageBus } from "../tasks/messages";
+import { computeSuspectFingerprint, Quarantine } from "../tasks/quarantine";
+import { type Address } from "../types";
+import { sendSuspect } from "./control";
+import { type DecisionLog } from "./log";
+import { type HopOrder } from "./types";
+
+/** What the guard works with. */
+export interface PoisonGuardParts {
+    readonly log: DecisionLog;
+    /** Control addresses of the nodes whose upstreams may be sent the same requests. */
+    readonly listPeers: () => readonly Address[];
+}
+
+/** A refused connection this soon after a break means that the upstream died, in milliseconds. */
+const deathWindowMs = 400;
+/** Requests that are remembered as broken off at the same time. */
+const maxSuspects = 400;
+
+interface Break {
+    readonly fingerprint: string;
+    readonly atMs: number;
+}
+
+/** Owns the requests during which the local upstream broke off, until it is known whether it died. */
+export class PoisonGuard {
+    private readonly bus = new MessageBus();
+    private readonly quarantine: Quarantine;
+    private breaks: Break[] = [];
+
+    constructor(private readonly node: string, private readonly clock: Clock, private readonly parts: PoisonGuardParts) {
+        this.quarantine = new Quarantine(node, clock, this.bus);
+        this.bus.subscribe("suspectFound", ({ fingerprint }) => this.tellPeers(fingerprint));
+        this.bus.subscribe("audited", ({ audit }) => parts.log.write(audit.event, audit.fields));
+    }
+
+    /** Whether a request is not to be run. */
+    isQuarantined(order: HopOrder): boolean {
+        if (this.quarantine.isEmpty()) {
+            return false;
+        }
+        return this.quarantine.isRefused(computeFingerprint(order), "idempotent");
+    }
+
+    /** Records that the upstream broke off a request (`sent`), or that it refused a connection. */
+    recordLoss(order: HopOrder, sent: boolean): void {
+        const nowMs = this.clock.readMonotonicMs();
+        if (sent) {
+            this.breaks = [...this.breaks.slice(1 - maxSuspects), { fingerprint: computeFingerprint(order), atMs: nowMs }];
+            return;
+        }
+        const suspects = this.breaks.filter(({ atMs }) => nowMs - atMs < deathWindowMs);
+        this.breaks = [];
+        suspects.forEach(({ fingerprint }) => this.quarantine.recordDeath(fingerprint));
+    }
+
+    /** Clears a request that an upstream has answered. */
+    recordAnswer(order: HopOrder): void {
+        if (!this.quarantine.isEmpty()) {
+            this.quarantine.recordAnswer(computeFingerprint(order));
+        }
+    }
+
+    /** Takes the word of another node that its upstream died during a request. */
+    receive(fingerprint: string, node: string): void {
+        this.bus.publish({ kind: "suspectReported", fingerprint, endpoint: node });
+    }
+
+    private tellPeers(fingerprint: string): void {
+        this.parts.listPeers().forEach(address => void sendSuspect(address, fingerprint, this.node));
+    }
+}
+
+const computeFingerprint = ({ callerService, method, path, body }: HopOrder): string =>
+    computeSuspectFingerprint({ caller: callerService, method, path, body: Buffer.isBuffer(body) ? body : undefined });
--- a/src/tasks/_lib/attempt.ts
+++ b/src/tasks/_lib/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a call over one connection, and its result as a value. */
 import { type Dispatcher } from "undici";
 import { type AnswerHead, type AnswerSink } from "./answerSink";
+import { isBodiless } from "./headers";
 import { BodyTooLargeError, type RequestBody } from "./readBody";
 
 /** Why an attempt came to no whole answer. */
@@ -30,14 +31,15 @@
     readonly path: string;
     readonly rawHeaders: string[];
     readonly body: RequestBody;
+    /** False asks for a connection that is not about to be closed by the other side. */
+    readonly idempotent?: boolean;
 }
 
 const firstFinalStatus = 200;
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 /** Whether the end of an answer's body can be told from a broken connection. */
 const isFramed = (method: string, head: AnswerHead, rawHeaders: readonly string[]): boolean => {
-    if (method === "HEAD" || statusesWithoutBody.has(head.status)) {
+    if (isBodiless(method, head.status)) {
         return true;
     }
     return rawHeaders.some((name, index) => {
@@ -58,7 +60,12 @@
     private sent = false;
     private finished = false;
 
-    constructor(private readonly method: string, private readonly owner: AttemptOwner) {}
+    /** Where the transport reports a reset connection as an error, an answer may also end with its connection. */
+    constructor(
+        private readonly method: string,
+        private readonly owner: AttemptOwner,
+        private readonly acceptsUnframed = false,
+    ) {}
 
     /** Gives the attempt up; its owner gets the result at once. */
     abort(cause: BreakCause): void {
@@ -86,7 +93,7 @@
         }
         const rawHeaders = parseRawHeaders(raw);
         this.head = { status, rawHeaders };
-        if (!isFramed(this.method, this.head, rawHeaders)) {
+        if (!this.acceptsUnframed && !isFramed(this.method, this.head, rawHeaders)) {
             this.abort("unframed");
             return true;
         }
@@ -141,6 +148,7 @@
             path: request.path,
             headers: request.rawHeaders,
             body: request.body,
+            idempotent: request.idempotent,
             headersTimeout: 0,
             bodyTimeout: 0,
         },
--- a/src/tasks/_lib/headers.ts
+++ b/src/tasks/_lib/headers.ts
@@ -66,5 +66,14 @@
 /** Headers of a request that the next hop sets anew. */
 export const requestHeadersSetAnew: ReadonlySet<string> = new Set(["host", "expect", "content-length"]);
 
+/** The same, for a hop between nodes that passes the host on. */
+export const requestHeadersSetAnewByRelay: ReadonlySet<string> = new Set(["expect", "content-length"]);
+
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether an answer has no body by its nature. */
+export const isBodiless = (method: string, status: number): boolean =>
+    method === "HEAD" || statusesWithoutBody.has(status);
+
 /** No further headers. */
 export const noHeaders: ReadonlySet<string> = new Set();
