--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,5 +1,5 @@
 export default {
-    testMatch: ["<rootDir>/src/**/test.ts", "<rootDir>/bench/**/test.ts"],
+    testMatch: ["<rootDir>/{src,bench,platform}/**/{test,*.test}.ts"],
     testEnvironment: "node",
     transform: {
         "^.+\\.(t|j)s$": ["@swc/jest", { jsc: { target: "es2022", parser: { syntax: "typescript" } } }],
--- a/src/_lib/createLogger.ts
+++ b/src/_lib/createLogger.ts
@@ -11,9 +11,17 @@
     return `${logfmt.stringify(Object.fromEntries(flat))}\n`;
 };
 
-/** Creates a logger that writes one line of key=value pairs for each event to standard output. */
-export const createLogger = (level: string, base: Readonly<Record<string, string>>): Logger =>
-    pino(
+/** Bytes of log lines that wait at most for a reader of standard output; later lines are dropped. */
+const maxWaitingBytes = 1024 * 1024;
+const standardOutput = 1;
+
+/**
+ * Creates a logger that writes one line of key=value pairs for each event to standard output. Lines are written in the
+ * background: a reader that stands still costs lines, never time.
+ */
+export const createLogger = (level: string, base: Readonly<Record<string, string>>): Logger => {
+    const destination = pino.destination({ dest: standardOutput, sync: false, maxLength: maxWaitingBytes });
+    return pino(
         {
             level,
             base,
@@ -21,5 +29,9 @@
             formatters: { level: label => ({ level: label }) },
             timestamp: pino.stdTimeFunctions.isoTime,
         },
-        { write: line => process.stdout.write(formatLogLine(line)) },
+        {
+            write: line => destination.write(formatLogLine(line)),
+            flush: (done: () => void) => destination.flush(done),
+        } as pino.DestinationStream,
     );
+};
--- a/src/decisions/repeatBudget/index.ts
+++ b/src/decisions/repeatBudget/index.ts
@@ -36,10 +36,11 @@
         this.tokensOfWindow += this.allowance.ratio * usedShare;
     }
 
-    /** Takes one repeat; false when none is left. */
-    tryTake(nowMs: number): boolean {
+    /** Takes one repeat; false when no more than a share of what could be saved up is left. */
+    tryTake(nowMs: number, reserve = 0): boolean {
         this.expireTokens(nowMs);
-        if (this.tokens < 1) {
+        const most = Math.max(this.computeSlack(), 1) + this.tokensOfWindow;
+        if (this.tokens < Math.max(1, reserve * most)) {
             return false;
         }
         this.tokens -= 1;
--- a/src/relay/_lib/repeatBudgets.ts
+++ b/src/relay/_lib/repeatBudgets.ts
@@ -1,5 +1,8 @@
 import { type RepeatAllowance, RepeatBudget } from "../../decisions/repeatBudget";
 
+/** Share of the allowance that calls of upstreams leave for requests of callers, which are far fewer. */
+const nestedReserve = 0.3;
+
 /** Owns this node's part of the allowance for repeats, by called service. */
 export class RepeatBudgets {
     private readonly budgets = new Map<string, RepeatBudget>();
@@ -18,9 +21,9 @@
         this.open(service).recordRequest(this.readNowMs());
     }
 
-    /** Takes one repeat to a service; false when none is left. */
-    tryTake(service: string): boolean {
-        return this.open(service).tryTake(this.readNowMs());
+    /** Takes one repeat to a service; false when none is left. Nested requests leave some for the others. */
+    tryTake(service: string, nested: boolean): boolean {
+        return this.open(service).tryTake(this.readNowMs(), nested ? nestedReserve : 0);
     }
 
     private open(service: string): RepeatBudget {
--- a/src/relay/connectionPool/index.ts
+++ b/src/relay/connectionPool/index.ts
@@ -13,6 +13,8 @@
  * server, which crosses with the request, would leave open whether it ran.
  */
 const safeIdleMs = 1_000;
+/** Time for which connections are not used again after one has carried a foreign answer, in milliseconds. */
+const distrustMs = 5_000;
 
 interface Connection {
     readonly client: Client;
@@ -57,6 +59,7 @@
     private readonly idle: Connection[] = [];
     private readonly busy = new Set<Connection>();
     private closed = false;
+    private distrustedUntilMs = -Infinity;
 
     constructor(private readonly address: Address, private readonly options: ConnectionPoolOptions) {}
 
@@ -73,6 +76,14 @@
         return connection.client.dispatch(request, new ReleasingHandler(handler, () => this.release(connection)));
     }
 
+    /**
+     * Records that a connection has carried an answer to another request. Others may be about to, so for a while requests
+     * that must not run twice get new connections.
+     */
+    recordForeignAnswer(): void {
+        this.distrustedUntilMs = this.options.readNowMs() + distrustMs;
+    }
+
     /** Closes idle connections at once and the others when their requests have ended. */
     close(): void {
         this.closed = true;
@@ -91,7 +102,8 @@
             void this.idle.shift()!.client.destroy();
         }
         const latest = this.idle[this.idle.length - 1];
-        const isUsable = latest && (isRepeatable || nowMs - latest.idleSinceMs < safeIdleMs);
+        const isTrusted = nowMs > this.distrustedUntilMs && nowMs - (latest?.idleSinceMs ?? 0) < safeIdleMs;
+        const isUsable = latest && (isRepeatable || isTrusted);
         return isUsable ? this.idle.pop()! : this.createConnection();
     }
 
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -2,14 +2,15 @@
 import { chooseUpstream } from "../../decisions/chooseUpstream";
 import { decideRepeat } from "../../decisions/decideRepeat";
 import { type Route } from "../../routing/types";
-import { type AnswerHead, type AnswerSink, StartedSink } from "../../tasks/_lib/answerSink";
+import { type AnswerHead, type AnswerSink, DiscardingSink, StartedSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
 import { findHeader } from "../../tasks/_lib/headers";
 import { type Problem, sendProblem } from "../../tasks/_lib/problem";
 import { type RequestBody } from "../../tasks/_lib/readBody";
 import { type Timeout } from "../../tasks/_lib/timerWheel";
 import { sendAnswer } from "../ingress";
-import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
+import { type ActiveRequest, recordCallAnswer } from "../activeRequests";
+import { type HopOrder, type HopOwner, type HopResult, type LoadReport, type NotRunReason } from "../types";
 import { type EntryParts } from "./index";
 import {
     describeDeadline,
@@ -28,38 +29,52 @@
 const expiryMarginMs = 5;
 /** Time below which a request is not sent once more, in milliseconds. */
 const minRepeatMs = 30;
+/** Share of the remaining time after which a second sending comes too late. */
+const latestHedgeShare = 0.6;
+const firstServerError = 500;
+const unreachableReasons: ReadonlySet<NotRunReason> = new Set(["unreachable", "down", "moved"]);
 
-type Phase = "reading" | "sent" | "settled";
+/** One sending of the request to a node. */
+interface ActiveHop {
+    readonly upstreamId: string;
+    cancel: (cause: "timeout" | "cancelled" | "connection") => void;
+}
+
+type Answer = Extract<HopResult, { readonly kind: "answered"; }>;
 
 /** Owns the state of one request. */
-export class EntryCall implements HopOwner {
+export class EntryCall {
     private readonly startedAtMs: number;
     private readonly requestId: string;
+    /** The request for which the local upstream makes this call, if it is one. */
+    private readonly parent: ActiveRequest | undefined;
+    private readonly nested: boolean;
     private route: Route | undefined;
     private service = "";
     private body: RequestBody;
     private rawHeaders: readonly string[] = [];
     private deadlineAtMs = 0;
-    private phase: Phase = "reading";
-    private upstreamId = "";
+    private isSettled = false;
     /** Upstreams that the request has been sent to, and nodes that have refused it. */
     private readonly offered: string[] = [];
     private readonly refusing: string[] = [];
     private mayHaveRun = false;
     /** The last answer of an upstream, passed on when a repeat brings nothing better. */
-    private fallback: Extract<HopResult, { readonly kind: "answered"; }> | undefined;
-    private cancelHop: (cause: "timeout" | "cancelled" | "connection") => void = () => undefined;
+    private fallback: Answer | undefined;
+    private readonly hops = new Set<ActiveHop>();
     private deadline: Timeout | undefined;
-    private hopNumber = 0;
+    private hedge: Timeout | undefined;
+    private sentAtMs = 0;
 
     constructor(
         private readonly request: CallRequest,
-        private readonly nested: boolean,
         private readonly parts: EntryParts,
         private readonly onSettled: () => void,
     ) {
         this.startedAtMs = parts.readNowMs();
         this.requestId = findHeader(request.rawHeaders, parts.names.requestId) ?? "";
+        this.parent = parts.activeRequests.findParent(this.requestId);
+        this.nested = this.parent !== undefined;
     }
 
     start(): void {
@@ -74,8 +89,13 @@
             this.refuse(describeUnknownRoute(host, routing.version));
             return;
         }
-        this.deadlineAtMs = this.startedAtMs + this.computeAllowedMs(this.route);
-        if (!this.nested && !shedding.admit(this.route.name, this.route.rank)) {
+        const allowedMs = this.computeAllowedMs(this.route) - this.parts.readStaleMs();
+        if (allowedMs <= 0) {
+            this.refuse(describeDeadline(false));
+            return;
+        }
+        this.deadlineAtMs = this.startedAtMs + allowedMs;
+        if (!this.nested && !shedding.admit(this.route.name, this.route.rank, host + this.request.url)) {
             const share = shedding.readShare(this.route.name);
             this.refuse(describeShed(share, this.route.targetLatencyMs, this.parts.sampleRandom()));
             return;
@@ -87,7 +107,7 @@
         this.request.onEarlyClose(() => this.abandon());
         const maxBytes = routing.limits?.maxBodyBytes ?? 0;
         this.request.readBody({ whole: false, maxBytes }, result => {
-            if (this.phase === "settled") {
+            if (this.isSettled) {
                 return;
             }
             if (result.kind === "body") {
@@ -103,36 +123,6 @@
         });
     }
 
-    openStream(head: AnswerHead): AnswerSink {
-        this.request.sink.start(head);
-        this.phase = "settled";
-        this.release("streamed", head.status);
-        return new StartedSink(this.request.sink);
-    }
-
-    settle(result: HopResult): void {
-        this.parts.directory.recordEnded(this.upstreamId);
-        if (this.phase === "settled") {
-            return;
-        }
-        this.recordResult(result);
-        const decision = decideRepeat({
-            result,
-            idempotent: this.route!.idempotent,
-            upstreamsTried: this.offered.length,
-            maxUpstreams: this.route!.maxUpstreams,
-            refusals: this.refusing.length,
-            remainingMs: this.deadlineAtMs - this.parts.readNowMs(),
-            expectedMs: minRepeatMs,
-        });
-        const isReplayable = this.body === undefined || Buffer.isBuffer(this.body);
-        const isAllowed = decision === "move" || decision === "repeat" && this.parts.budgets.tryTake(this.service);
-        if (isReplayable && isAllowed && this.sendNext(decision === "repeat")) {
-            return;
-        }
-        this.finish(result);
-    }
-
     private computeAllowedMs(route: Route): number {
         const stated = Number(findHeader(this.request.rawHeaders, this.parts.names.deadline));
         const deadlineMs = Number.isFinite(stated) && stated > 0 ? stated : defaultDeadlineMs;
@@ -140,7 +130,7 @@
     }
 
     private sendFirst(body: RequestBody): void {
-        const { names, routing, budgets, shedding } = this.parts;
+        const { names, routing, budgets } = this.parts;
         const route = this.route!;
         this.body = body;
         this.rawHeaders = removeHeaders(
@@ -149,56 +139,126 @@
         );
         this.service = routing.takeService(route);
         budgets.recordRequest(this.service);
-        if (this.nested) {
-            shedding.countCall(route.name);
-        }
         if (!this.sendNext(false)) {
             this.refuse(describeNoUpstream(this.service));
+            return;
         }
+        this.planHedge();
     }
 
     /** Sends the request to the best upstream that has not had it; false when there is none. */
     private sendNext(isRepeat: boolean): boolean {
-        const route = this.route!;
         const { directory, sampleRandom, readNowMs } = this.parts;
-        const candidates = directory.listCandidates(this.service, [...this.offered, ...this.refusing]);
+        const route = this.route!;
+        const underWay = [...this.hops].map(({ upstreamId }) => upstreamId);
+        const candidates = directory.listCandidates(this.service, [...this.offered, ...this.refusing, ...underWay]);
         const chosen = chooseUpstream(candidates, {
             domainPenaltyMs: domainPenaltyShare * route.targetLatencyMs,
-            mayExplore: route.idempotent,
+            mayExplore: route.idempotent && !isRepeat,
             randoms: [sampleRandom(), sampleRandom()],
         });
         if (!chosen) {
             return false;
         }
-        this.upstreamId = chosen.id;
-        this.hopNumber += 1;
-        this.phase = "sent";
-        directory.recordSent(chosen.id);
         if (isRepeat) {
             this.parts.metrics.countRepeat(this.service);
-            this.log("request-repeated", { upstream: chosen.id, elapsedMs: readNowMs() - this.startedAtMs });
+            this.log("request-repeated", {
+                upstream: chosen.id,
+                elapsedMs: Math.round(readNowMs() - this.startedAtMs),
+                pending: underWay.join(","),
+            });
         }
-        this.startHop(this.createOrder());
+        this.startHop(chosen.id);
         return true;
     }
 
-    private startHop(order: HopOrder): void {
-        const { hopNumber } = this;
+    private startHop(upstreamId: string): void {
+        const { directory, sendHop, readNowMs } = this.parts;
+        const hop: ActiveHop = { upstreamId, cancel: () => undefined };
+        this.hops.add(hop);
+        this.sentAtMs = readNowMs();
+        directory.recordSent(upstreamId);
         const owner: HopOwner = {
-            openStream: head => this.openStream(head),
-            settle: result => {
-                if (hopNumber === this.hopNumber) {
-                    this.settle(result);
-                }
-            },
+            openStream: head => this.openStream(hop, head),
+            settle: (result, report) => this.settleHop(hop, result, report),
         };
-        const cancel = this.parts.sendHop(order, owner, report => this.takeReport(order.upstreamId, report));
-        if (hopNumber === this.hopNumber) {
-            this.cancelHop = cancel;
+        hop.cancel = sendHop(this.createOrder(upstreamId), owner);
+    }
+
+    private openStream(hop: ActiveHop, head: AnswerHead): AnswerSink {
+        if (this.isSettled) {
+            return new DiscardingSink();
+        }
+        this.request.sink.start(head);
+        this.isSettled = true;
+        this.release("streamed", head.status);
+        this.cancelHops("cancelled", hop);
+        return new StartedSink(this.request.sink);
+    }
+
+    private settleHop(hop: ActiveHop, result: HopResult, report: LoadReport | undefined): void {
+        this.hops.delete(hop);
+        this.parts.directory.recordEnded(hop.upstreamId);
+        if (report) {
+            this.takeReport(hop.upstreamId, report);
+        }
+        if (this.isSettled) {
+            return;
+        }
+        this.recordResult(hop.upstreamId, result);
+        if (this.trySendAgain(result) || this.hops.size > 0 && !isSuccess(result)) {
+            return;
+        }
+        this.finish(hop.upstreamId, result);
+    }
+
+    /** Sends the request on after a result that is not its final one; false when there is nothing to be tried. */
+    private trySendAgain(result: HopResult): boolean {
+        const decision = decideRepeat({
+            result,
+            idempotent: this.route!.idempotent,
+            upstreamsTried: this.offered.length + this.hops.size,
+            maxUpstreams: this.route!.maxUpstreams,
+            refusals: this.refusing.length,
+            remainingMs: this.deadlineAtMs - this.parts.readNowMs(),
+            expectedMs: minRepeatMs,
+        });
+        if (decision === "give-up" || !this.isReplayable()) {
+            return false;
         }
+        return decision === "move" ? this.sendNext(false) : this.tryRepeat();
     }
 
-    private createOrder(): HopOrder {
+    private tryRepeat(): boolean {
+        return this.parts.budgets.tryTake(this.service, this.nested) && this.sendNext(true);
+    }
+
+    private isReplayable(): boolean {
+        return this.body === undefined || Buffer.isBuffer(this.body);
+    }
+
+    /** Plans a second sending for the case that the first one is not answered in the time that is usual. */
+    private planHedge(): void {
+        const route = this.route!;
+        const delayMs = this.parts.answerTimes.computeHedgeDelay(route.name);
+        const remainingMs = this.deadlineAtMs - this.parts.readNowMs();
+        const isUseful = delayMs !== undefined && delayMs < remainingMs * latestHedgeShare;
+        if (!isUseful || !route.idempotent || route.maxUpstreams < 2 || !this.isReplayable()) {
+            return;
+        }
+        this.hedge = this.parts.wheel.add(delayMs, () => {
+            const isAlone = this.hops.size === 1 && this.offered.length === 0;
+            if (!this.isSettled && isAlone && this.parts.shedding.isCalm(route.name, this.nested)) {
+                this.tryRepeat();
+            }
+        });
+    }
+
+    private cancelHops(cause: "timeout" | "cancelled", except?: ActiveHop): void {
+        [...this.hops].filter(hop => hop !== except).forEach(hop => hop.cancel(cause));
+    }
+
+    private createOrder(upstreamId: string): HopOrder {
         const route = this.route!;
         return {
             requestId: this.requestId,
@@ -208,7 +268,7 @@
             body: this.body,
             route: route.name,
             callerService: this.parts.readService(),
-            upstreamId: this.upstreamId,
+            upstreamId,
             idempotent: route.idempotent,
             nested: this.nested,
             rank: route.rank,
@@ -220,71 +280,64 @@
     private takeReport(upstreamId: string, report: LoadReport): void {
         const route = this.route!;
         this.parts.directory.recordReport(upstreamId, report);
-        if (this.nested) {
+        if (this.parent) {
+            recordCallAnswer(this.parent, report.congestion);
             this.parts.shedding.recordCall(route.name, report.congestion);
             return;
         }
         this.parts.shedding.recordAnswer(route.name, route.rank, report.congestion);
     }
 
-    private recordResult(result: HopResult): void {
-        if (result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved") {
-            this.refusing.push(this.upstreamId);
-        }
-        else {
-            this.offered.push(this.upstreamId);
+    private recordResult(upstreamId: string, result: HopResult): void {
+        const isUnreached = result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved";
+        (isUnreached ? this.refusing : this.offered).push(upstreamId);
+        if (result.kind === "not-run" && unreachableReasons.has(result.reason)) {
+            this.parts.directory.recordFailure(upstreamId);
         }
-        const isUnreachable = result.kind === "not-run"
-            && (result.reason === "unreachable" || result.reason === "down" || result.reason === "moved");
-        if (isUnreachable) {
-            this.parts.directory.recordFailure(this.upstreamId);
+        if (isSuccess(result)) {
+            this.parts.answerTimes.record(this.route!.name, this.parts.readNowMs() - this.sentAtMs);
         }
-        this.mayHaveRun ||= result.kind === "may-have-run" || result.kind === "answered";
+        this.mayHaveRun ||= result.kind !== "not-run";
         this.fallback = result.kind === "answered" ? result : this.fallback;
     }
 
-    private finish(result: HopResult): void {
+    private finish(upstreamId: string, result: HopResult): void {
         const answer = result.kind === "answered" ? result : this.fallback;
         if (answer?.body) {
-            this.deliver(answer);
+            this.isSettled = true;
+            sendAnswer(this.request.sink, this.request.method, answer.head, answer.body);
+            this.release("answered", answer.head.status);
+            this.cancelHops("cancelled");
             return;
         }
         const returnDelayMs = this.route!.targetLatencyMs / 4 * (1 + this.parts.sampleRandom());
-        this.refuse(describeHopFailure(result, this.mayHaveRun, this.upstreamId, returnDelayMs));
-    }
-
-    private deliver(answer: Extract<HopResult, { readonly kind: "answered"; }>): void {
-        this.phase = "settled";
-        sendAnswer(this.request.sink, this.request.method, answer.head, answer.body!);
-        this.release("answered", answer.head.status);
+        this.refuse(describeHopFailure(result, this.mayHaveRun, upstreamId, returnDelayMs));
     }
 
     /** Ends the request at its deadline; the answer says no more than is known. */
     private expire(): void {
-        if (this.phase === "settled") {
+        if (this.isSettled) {
             return;
         }
-        this.refuse(describeDeadline(this.offered.length > 0 || this.phase === "sent"));
-        this.cancelHop("timeout");
+        this.refuse(describeDeadline(this.offered.length > 0 || this.hops.size > 0));
+        this.cancelHops("timeout");
     }
 
     /** The caller has gone; what may be repeated is broken off. */
     private abandon(): void {
-        if (this.phase === "settled") {
+        if (this.isSettled) {
             return;
         }
-        this.phase = "settled";
+        this.isSettled = true;
         this.release("abandoned", 0);
-        this.cancelHop("cancelled");
+        this.cancelHops("cancelled");
     }
 
     private refuse(problem: Problem): void {
-        this.phase = "settled";
-        if (this.nested) {
-            this.parts.shedding.recordRefusedCall();
-            if (this.route) {
-                this.parts.shedding.recordCall(this.route.name, 1);
-            }
+        this.isSettled = true;
+        if (this.parent) {
+            this.parent.hasRefusedCall = true;
+            this.parts.shedding.recordCall(this.route?.name ?? "", 1);
         }
         const { request } = this;
         sendProblem(request.sink, problem, request.hasUnreadBody() ? ["Connection", "close"] : []);
@@ -300,6 +353,7 @@
     private release(outcome: string, status: number): void {
         const { wheel, metrics, readNowMs } = this.parts;
         wheel.remove(this.deadline);
+        wheel.remove(this.hedge);
         metrics.countAnswer(this.route?.name ?? "none", outcome, status, readNowMs() - this.startedAtMs);
         this.onSettled();
     }
@@ -317,6 +371,9 @@
     }
 }
 
+const isSuccess = (result: HopResult): boolean =>
+    result.kind === "answered" && result.head.status < firstServerError;
+
 /** Removes headers that the next hop sets itself, whatever the sender has put into them. */
 const removeHeaders = (rawHeaders: readonly string[], names: readonly string[]): readonly string[] => {
     const kept: string[] = [];
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -1,12 +1,14 @@
 /** Takes requests of callers and of the local upstream, and sees each to its final answer. */
 import { type CallRequest } from "../../tasks/_lib/callRequest";
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
+import { type AnswerTimes } from "../_lib/answerTimes";
 import { type RepeatBudgets } from "../_lib/repeatBudgets";
+import { type ActiveRequests } from "../activeRequests";
 import { type DecisionLog } from "../log";
 import { type RelayMetrics } from "../metrics";
 import { type RoutingInForce } from "../routing";
 import { type Shedding } from "../shedding";
-import { type HeaderNames, type HopOrder, type HopOwner, type LoadReport } from "../types";
+import { type HeaderNames, type HopOrder, type HopOwner } from "../types";
 import { type UpstreamDirectory } from "../upstreamDirectory";
 import { EntryCall } from "./entryCall";
 
@@ -14,7 +16,6 @@
 export type SendHop = (
     order: HopOrder,
     owner: HopOwner,
-    onReport: (report: LoadReport) => void,
 ) => (cause: "timeout" | "cancelled" | "connection") => void;
 
 /** What the entry works with. */
@@ -25,13 +26,17 @@
     readonly routing: RoutingInForce;
     readonly directory: UpstreamDirectory;
     readonly shedding: Shedding;
+    readonly activeRequests: ActiveRequests;
     readonly budgets: RepeatBudgets;
+    readonly answerTimes: AnswerTimes;
     readonly wheel: TimerWheel;
     readonly log: DecisionLog;
     readonly metrics: RelayMetrics;
     readonly sendHop: SendHop;
     readonly isStopping: () => boolean;
     readonly readNowMs: () => number;
+    /** Time by which a request that is read now may be older than it says, in milliseconds. */
+    readonly readStaleMs: () => number;
     /** Draws a number in [0, 1). */
     readonly sampleRandom: () => number;
 }
@@ -47,10 +52,10 @@
         return this.inFlight;
     }
 
-    /** Handles a request; `nested` tells that the local upstream made it while it served another one. */
-    handle(request: CallRequest, nested: boolean): void {
+    /** Handles a request. */
+    handle(request: CallRequest): void {
         this.inFlight += 1;
-        const call = new EntryCall(request, nested, this.parts, () => {
+        const call = new EntryCall(request, this.parts, () => {
             this.inFlight -= 1;
         });
         call.start();
--- a/src/relay/hop/remoteHop.ts
+++ b/src/relay/hop/remoteHop.ts
@@ -3,7 +3,7 @@
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
 import { noHeaders, stripHeaders } from "../../tasks/_lib/headers";
 import { AnswerBuffer } from "../_lib/answerBuffer";
-import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
+import { type HopOrder, type HopOwner, type HopResult } from "../types";
 import { encodeHopRequest, type HopAnswerFields, hopHeader, parseHopAnswer } from "./headers";
 
 /** What a remote hop works with. */
@@ -12,8 +12,6 @@
     readonly readNowMs: () => number;
     /** Version of the routing table in force here. */
     readonly readVersion: () => number;
-    /** Told of each report that comes with an answer. */
-    readonly onReport: (report: LoadReport) => void;
 }
 
 /** Time by which the other node has to be done earlier, in milliseconds: the way back of its last word. */
@@ -52,9 +50,6 @@
     takeAnswer(head: AnswerHead): AnswerSink | undefined {
         this.answer = parseHopAnswer(head.rawHeaders);
         this.head = { status: head.status, rawHeaders: stripHeaders(head.rawHeaders, noHeaders) };
-        if (this.answer) {
-            this.parts.onReport(this.answer.report);
-        }
         if (this.answer?.outcome.kind !== "ran") {
             return undefined;
         }
@@ -63,7 +58,7 @@
     }
 
     finish(result: AttemptResult): void {
-        this.owner.settle(this.deriveResult(result));
+        this.owner.settle(this.deriveResult(result), this.answer?.report);
     }
 
     private deriveResult(result: AttemptResult): HopResult {
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -9,12 +9,12 @@
 /** What the ingress works with. */
 export interface IngressParts extends ServedHopParts {
     readonly maxBodyBytes: () => number;
-    /** Counts a request of a route, for the estimate of the calls that it leads to. */
-    readonly countRequest: (route: string) => void;
-    /** Computes what other nodes are told of the upstream, for requests of a route. */
-    readonly createReport: (order: Pick<HopOrder, "route" | "nested" | "targetLatencyMs">) => LoadReport;
+    /** Computes what the sender of a request is told, with the congestion that the request's own calls have met. */
+    readonly createReport: (order: HopOrder, below: number) => LoadReport;
     /** Told which routing version a node at a host has in force. */
     readonly onVersionSeen: (host: string, version: number) => void;
+    /** Time by which a request that is read now may be older than it says, in milliseconds. */
+    readonly readStaleMs: () => number;
     /** Whether the node takes no new work. */
     readonly isLeaving: () => boolean;
 }
@@ -41,15 +41,14 @@
             openStream: head => owner.openStream(head),
             settle: result => {
                 this.inFlight -= 1;
-                owner.settle(result);
+                owner.settle(result, this.parts.createReport(order, served.computeBelow()));
             },
         };
+        const served = new ServedHop(order, counting, this.parts);
         if (this.parts.isLeaving()) {
-            counting.settle({ kind: "not-run", reason: "leaving" });
+            served.refuse("leaving");
             return () => undefined;
         }
-        this.parts.countRequest(order.route);
-        const served = new ServedHop(order, counting, this.parts);
         served.start();
         return () => served.cancel();
     }
@@ -62,7 +61,8 @@
             return;
         }
         this.parts.onVersionSeen(peerHost, fields.version);
-        const deadlineAtMs = this.parts.readNowMs() + fields.remainingMs;
+        const staleMs = this.parts.readStaleMs();
+        const deadlineAtMs = this.parts.readNowMs() + fields.remainingMs - staleMs;
         let isGone = false;
         let cancel = (): void => undefined;
         request.onEarlyClose(() => {
@@ -98,30 +98,32 @@
 
     openStream(head: AnswerHead): AnswerSink {
         const outcome: HopOutcome = { kind: "ran", refusedBelow: false };
-        this.sink.start({ status: head.status, rawHeaders: [...head.rawHeaders, ...this.createHopHeader(outcome)] });
+        const report = this.parts.createReport(this.order, 0);
+        this.sink.start({ status: head.status, rawHeaders: [...head.rawHeaders, ...createHopHeader(outcome, report)] });
         return this.sink;
     }
 
-    settle(result: HopResult): void {
+    settle(result: HopResult, report: LoadReport): void {
         if (result.kind !== "answered") {
             const outcome: HopOutcome = result.kind === "not-run" ? result : { kind: "may-have-run" };
             const status = result.kind === "not-run" ? unavailableStatus : badGatewayStatus;
-            sendWhole(this.sink, status, this.createHopHeader(outcome), Buffer.alloc(0));
+            sendWhole(this.sink, status, createHopHeader(outcome, report), Buffer.alloc(0));
             return;
         }
         if (!result.body) {
             return;
         }
         const outcome: HopOutcome = { kind: "ran", refusedBelow: result.refusedBelow };
-        const rawHeaders = [...result.head.rawHeaders, ...this.createHopHeader(outcome)];
+        const rawHeaders = [...result.head.rawHeaders, ...createHopHeader(outcome, report)];
         sendAnswer(this.sink, this.order.method, { status: result.head.status, rawHeaders }, result.body);
     }
-
-    private createHopHeader(outcome: HopOutcome): readonly string[] {
-        return [hopHeader, encodeHopAnswer({ outcome, report: this.parts.createReport(this.order) })];
-    }
 }
 
+const createHopHeader = (outcome: HopOutcome, report: LoadReport): readonly string[] => [
+    hopHeader,
+    encodeHopAnswer({ outcome, report }),
+];
+
 const sendWhole = (sink: AnswerSink, status: number, rawHeaders: readonly string[], body: Buffer): void =>
     sendAnswer(sink, "GET", { status, rawHeaders }, body);
 
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -2,8 +2,9 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
 import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
+import { type ActiveRequest, type ActiveRequests, computeCallCongestion } from "../activeRequests";
 import { AnswerBuffer } from "../_lib/answerBuffer";
-import { type SlotApplicant, type SlotQueue } from "../slotQueue";
+import { type SlotApplicant, type SlotGrant, type SlotQueue } from "../slotQueue";
 import { type HeaderNames, type HopOrder, type HopOwner, type HopResult, type NotRunReason } from "../types";
 
 /** What served requests share. */
@@ -16,10 +17,11 @@
     readonly isQuarantined: (order: HopOrder) => boolean;
     /** Told when the upstream's connection broke off during a request, or none could be opened. */
     readonly onUpstreamLost: (order: HopOrder, sent: boolean) => void;
+    /** Told when a connection to the upstream has carried an answer to another request. */
+    readonly onForeignAnswer: () => void;
     /** Told when the upstream has answered. */
     readonly onAnswered: (order: HopOrder) => void;
-    /** Whether an error of the upstream is due to one of its calls that this node had to refuse. */
-    readonly takeRefusedBelow: () => boolean;
+    readonly activeRequests: ActiveRequests;
 }
 
 /** Less time than this is not worth an attempt, in milliseconds. */
@@ -42,7 +44,8 @@
     private head: AnswerHead | undefined;
     private isForeign = false;
     private settled = false;
-    private startedAtMs = 0;
+    private active: ActiveRequest | undefined;
+    private grant: SlotGrant | undefined;
 
     constructor(
         private readonly order: HopOrder,
@@ -68,6 +71,11 @@
         this.withdraw = this.parts.slots.apply(this);
     }
 
+    /** Congestion that the calls of the request have met, 0 to 1. */
+    computeBelow(): number {
+        return this.active ? computeCallCongestion(this.active) : 0;
+    }
+
     /**
      * Told that nobody waits for the answer. Work that may be repeated is broken off; what must not run twice goes on to
      * its end, so that the upstream is not left with half of it.
@@ -86,12 +94,12 @@
         }
     }
 
-    refuse(reason: "full" | "expired"): void {
+    refuse(reason: "full" | "expired" | "leaving"): void {
         this.settle({ kind: "not-run", reason });
     }
 
-    run(): void {
-        this.startedAtMs = this.parts.readNowMs();
+    run(grant: SlotGrant): void {
+        this.grant = grant;
         if (this.computeRemainingMs() < minAttemptMs) {
             this.releaseSlot(false);
             this.settle({ kind: "not-run", reason: "expired" });
@@ -99,6 +107,7 @@
         }
         const { method, path, body, idempotent } = this.order;
         const rawHeaders = this.createHeaders();
+        this.active = this.parts.activeRequests.add(this.order.requestId);
         this.attempt = new Attempt(method, this, true);
         sendAttempt(this.parts.upstream, { method, path, rawHeaders, body, idempotent }, this.attempt);
     }
@@ -106,6 +115,7 @@
     takeAnswer(head: AnswerHead): AnswerSink | undefined {
         if (!this.isOwnAnswer(head)) {
             this.isForeign = true;
+            this.parts.onForeignAnswer();
             this.attempt!.abort("unframed");
             return undefined;
         }
@@ -116,6 +126,7 @@
 
     finish(result: AttemptResult): void {
         this.releaseSlot(result.kind === "answered");
+        this.parts.activeRequests.remove(this.order.requestId, this.active!);
         if (result.kind === "answered") {
             this.parts.onAnswered(this.order);
         }
@@ -137,7 +148,7 @@
             return { kind: "may-have-run", cause: this.isForeign ? "foreign-answer" : result.cause };
         }
         const head = this.head!;
-        const refusedBelow = head.status >= firstServerError && this.parts.takeRefusedBelow();
+        const refusedBelow = head.status >= firstServerError && this.active?.hasRefusedCall === true;
         return { kind: "answered", head, body: this.buffer.takeBody(), refusedBelow };
     }
 
@@ -177,7 +188,7 @@
     }
 
     private releaseSlot(answered: boolean): void {
-        this.parts.slots.release(this.route, this.parts.readNowMs() - this.startedAtMs, answered);
+        this.parts.slots.release(this.grant!, this, answered);
     }
 
     private settle(result: HopResult): void {
@@ -185,6 +196,6 @@
             return;
         }
         this.settled = true;
-        this.owner.settle(result);
+        this.owner.settle(result, undefined);
     }
 }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -8,7 +8,9 @@
 import { closeListener, openListener } from "../tasks/_lib/openListener";
 import { TimerWheel } from "../tasks/_lib/timerWheel";
 import { type Address } from "../types";
+import { AnswerTimes } from "./_lib/answerTimes";
 import { RepeatBudgets } from "./_lib/repeatBudgets";
+import { ActiveRequests } from "./activeRequests";
 import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
@@ -16,6 +18,7 @@
 import { DecisionLog } from "./log";
 import { RelayMetrics } from "./metrics";
 import { Peers } from "./peers";
+import { PauseGuard } from "./pauseGuard";
 import { PoisonGuard } from "./poisonGuard";
 import { RoutingInForce } from "./routing";
 import { Shedding } from "./shedding";
@@ -25,8 +28,6 @@
 import { UpstreamDirectory } from "./upstreamDirectory";
 import { ViewSync } from "./viewSync";
 
-/** After the stop signal, callers are served for this long at least, in milliseconds: they learn of it by readiness. */
-const leaveAfterMs = 2_300;
 /** Quiet at the entry that shows that the callers have gone, in milliseconds. */
 const quietMs = 300;
 /** Margin for closing before the process is killed, in milliseconds. */
@@ -43,6 +44,7 @@
     private readonly routing: RoutingInForce;
     private readonly directory: UpstreamDirectory;
     private readonly shedding: Shedding;
+    private readonly activeRequests: ActiveRequests;
     private readonly budgets: RepeatBudgets;
     private readonly slots: SlotQueue;
     private readonly metrics: RelayMetrics;
@@ -51,6 +53,7 @@
     private readonly entry: Entry;
     private readonly poison: PoisonGuard;
     private readonly viewSync: ViewSync;
+    private readonly pauseGuard: PauseGuard;
     private upstream: ConnectionPool;
     private servers: readonly Server[] = [];
     private hasRecords = false;
@@ -72,6 +75,7 @@
         this.routing = new RoutingInForce(sampleRandom, (table, from) => this.reportAdoption(table, from));
         this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
         this.shedding = new Shedding(readNowMs);
+        this.activeRequests = new ActiveRequests(names.callSeparator);
         this.budgets = new RepeatBudgets({ ratio, slack, windowMs }, readNowMs);
         this.slots = new SlotQueue(this.wheel, readNowMs);
         this.upstream = new ConnectionPool(settings.upstream, { readNowMs });
@@ -80,6 +84,10 @@
             version: this.routing.version,
             upstreams: this.directory.list().length,
         }));
+        this.pauseGuard = new PauseGuard(
+            clock,
+            pauseMs => this.log.writeAlways("process-paused", { pauseMs: Math.round(pauseMs) }),
+        );
         this.poison = new PoisonGuard(settings.node, clock, {
             log: this.log,
             listPeers: () => this.listControlAddresses(this.settings.service),
@@ -115,13 +123,14 @@
             upstream: { dispatch: (options, handler) => this.upstream.dispatch(options, handler) },
             slots: this.slots,
             readNowMs,
+            readStaleMs: () => this.pauseGuard.readStaleMs(),
             isQuarantined: order => this.poison.isQuarantined(order),
             onUpstreamLost: (order, sent) => this.poison.recordLoss(order, sent),
+            onForeignAnswer: () => this.upstream.recordForeignAnswer(),
             onAnswered: order => this.poison.recordAnswer(order),
-            takeRefusedBelow: () => this.shedding.takeRefusedCall(),
+            activeRequests: this.activeRequests,
             maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
-            countRequest: route => this.shedding.countRequest(route),
-            createReport: order => this.createReport(order),
+            createReport: (order, below) => this.createReport(order, below),
             onVersionSeen,
             isLeaving: () => this.stoppingSinceMs !== undefined,
         });
@@ -131,13 +140,16 @@
             routing: this.routing,
             directory: this.directory,
             shedding: this.shedding,
+            activeRequests: this.activeRequests,
             budgets: this.budgets,
+            answerTimes: new AnswerTimes(),
             wheel: this.wheel,
             log: this.log,
             metrics: this.metrics,
-            sendHop: (order, owner, onReport) => this.sendHop(order, owner, onReport),
+            sendHop: (order, owner) => this.sendHop(order, owner),
             isStopping: () => this.stoppingSinceMs !== undefined,
             readNowMs,
+            readStaleMs: () => this.pauseGuard.readStaleMs(),
             sampleRandom,
         });
     }
@@ -160,6 +172,7 @@
             openListener(this.controlAddress, control),
         ]);
         this.peers.start();
+        this.pauseGuard.start();
         this.source.start({
             onRouting: table => void this.routing.adopt(table, "platform"),
             onUpstreams: records => {
@@ -201,6 +214,7 @@
         this.source.stop();
         await Promise.all(this.servers.map(closeListener));
         this.peers.stop();
+        this.pauseGuard.stop();
         this.upstream.destroy();
         this.wheel.stop();
     }
@@ -216,13 +230,12 @@
             return true;
         }
         const isIdle = this.entry.pending === 0 && this.ingress.pending === 0;
-        return isIdle && nowMs - startMs > leaveAfterMs && nowMs - this.lastEntryMs > quietMs;
+        return isIdle && nowMs - startMs > this.settings.leaveAfterMs && nowMs - this.lastEntryMs > quietMs;
     }
 
     private handleEntry(request: IncomingMessage, response: ServerResponse): void {
-        const nested = request.socket.remoteAddress === this.settings.host;
         this.lastEntryMs = this.clock.readMonotonicMs();
-        this.entry.handle(new HttpCallRequest(request, response), nested);
+        this.entry.handle(new HttpCallRequest(request, response));
     }
 
     private handleAdmin(request: IncomingMessage, response: ServerResponse): void {
@@ -240,26 +253,20 @@
         });
     }
 
-    private sendHop(...[order, owner, onReport]: Parameters<SendHop>): ReturnType<SendHop> {
+    private sendHop(...[order, owner]: Parameters<SendHop>): ReturnType<SendHop> {
         const record = this.directory.find(order.upstreamId);
         const { host, port } = this.settings.upstream;
         if (record && record.host === host && record.port === port) {
-            return this.ingress.serve(order, {
-                openStream: head => owner.openStream(head),
-                settle: result => {
-                    onReport(this.createReport(order));
-                    owner.settle(result);
-                },
-            });
+            return this.ingress.serve(order, owner);
         }
-        return this.peers.send(record?.host ?? "", order, owner, onReport);
+        return this.peers.send(record?.host ?? "", order, owner);
     }
 
-    private createReport(order: Pick<HopOrder, "route" | "nested" | "targetLatencyMs">): LoadReport {
-        const own = this.slots.computeCongestion(order.targetLatencyMs);
+    private createReport({ targetLatencyMs, nested }: HopOrder, below: number): LoadReport {
+        const own = this.slots.computeCongestion(targetLatencyMs, nested);
         return {
             ...this.slots.readFigures(),
-            congestion: Math.max(own, this.shedding.computeBelow(order.route)),
+            congestion: Math.max(own, below),
             leaving: this.stoppingSinceMs !== undefined,
             version: this.routing.version,
         };
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -5,7 +5,7 @@
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
 import { ConnectionPool } from "../connectionPool";
 import { RemoteHop } from "../hop/remoteHop";
-import { type HopOrder, type HopOwner, type LoadReport } from "../types";
+import { type HopOrder, type HopOwner } from "../types";
 
 /** What the peers task works with. */
 export interface PeersParts {
@@ -64,24 +64,22 @@
         host: string,
         order: HopOrder,
         owner: HopOwner,
-        onReport: (report: LoadReport) => void,
     ): (cause: "timeout" | "cancelled" | "connection") => void {
         const peer = this.open(host);
         const counting: HopOwner = {
             openStream: head => owner.openStream(head),
-            settle: result => {
+            settle: (result, report) => {
                 peer.active.delete(active);
-                owner.settle(result);
+                if (report) {
+                    this.parts.onVersionSeen(host, report.version);
+                }
+                owner.settle(result, report);
             },
         };
         const hop = new RemoteHop(order, counting, {
             pool: peer.pool,
             readNowMs: this.parts.clock.readMonotonicMs,
             readVersion: this.parts.readVersion,
-            onReport: report => {
-                this.parts.onVersionSeen(host, report.version);
-                onReport(report);
-            },
         });
         const active: Active = { hop, order, startedAtMs: this.parts.clock.readMonotonicMs() };
         peer.active.add(active);
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -1,21 +1,26 @@
-/** What a node knows of congestion beyond its own upstream, and what follows for new requests. */
-import { FanOutEstimate } from "../../decisions/estimateFanOut";
+/** Which new requests are let in, by what the answers to earlier ones reported of congestion. */
+import { LRUCache } from "lru-cache";
 import { updateEntryShare } from "../../decisions/updateEntryShare";
 
 /** Window of the entry shares, in milliseconds. */
 const shareWindowMs = 100;
-/** Window of the counts from which the fan-out is estimated, in milliseconds. */
-const fanOutWindowMs = 1_000;
+/** Windows without requests that count towards the growth of a share. */
+const maxIdleWindows = 10;
 /** Weight of one report in the congestion of a kind of call. */
 const congestionWeight = 0.1;
 /** Time in which congestion that nothing more is heard of fades, in milliseconds. */
 const fadeMs = 500;
-/** Time for which a refused call explains an error of the upstream, in milliseconds. */
-const refusedCallMemoryMs = 2_000;
+/** Congestion below which a service counts as calm. */
+const calmCongestion = 0.1;
+/** Requests by which returning callers may go ahead of new ones. */
+const returnCredit = 4;
+/** Refused requests that are remembered, and for how long, in milliseconds; callers return within their deadline. */
+const maxRemembered = 10_000;
+const rememberedMs = 5_000;
 
 interface EntryState {
     share: number;
-    /** Carries the fraction of requests that is still to be let in. */
+    /** Carries the fraction of requests that is still to be let in; below zero when returning ones went ahead. */
     credit: number;
     answers: number;
     congestion: number;
@@ -27,90 +32,57 @@
     readAtMs: number;
 }
 
-/** Owns the share of each route's new requests that is let in, and the congestion of the calls of the local upstream. */
+/** Owns the share of each route's requests that is let in, and the requests that were refused and may return. */
 export class Shedding {
     private readonly entries = new Map<string, EntryState>();
     private readonly calls = new Map<string, CallState>();
-    private readonly fanOut = new FanOutEstimate();
-    private requestCounts = new Map<string, number>();
-    private callCounts = new Map<string, number>();
-    private countsSinceMs: number;
-    private refusedCalls = 0;
-    private lastRefusedCallMs = 0;
+    private readonly refused: LRUCache<string, true>;
 
     constructor(private readonly readNowMs: () => number) {
-        this.countsSinceMs = readNowMs();
+        this.refused = new LRUCache({ max: maxRemembered, ttl: rememberedMs, perf: { now: readNowMs } });
     }
 
-    /** Decides whether a new request of a route is let in. */
-    admit(route: string, rank: number): boolean {
+    /** Decides whether a request of a caller is let in. One that was refused before goes ahead of new ones. */
+    admit(route: string, rank: number, identity: string): boolean {
         const state = this.openEntry(route, rank);
-        state.credit = Math.min(2, state.credit + state.share);
-        if (state.credit < 1) {
+        if (state.share >= 1 && state.credit >= 1) {
+            return true;
+        }
+        const isReturning = this.refused.delete(identity);
+        state.credit = Math.min(1, state.credit + state.share);
+        if (state.credit < (isReturning ? 1 - returnCredit : 1)) {
+            this.refused.set(identity, true);
             return false;
         }
         state.credit -= 1;
         return true;
     }
 
-    /** Share of a route's new requests that is let in, 0 to 1. */
+    /** Share of a route's requests that is let in, 0 to 1. */
     readShare(route: string): number {
         return this.entries.get(route)?.share ?? 1;
     }
 
-    /** Records the congestion that an answer to a new request reported, 0 to 1. */
+    /** Records the congestion that the answer to a caller's request reported, 0 to 1. */
     recordAnswer(route: string, rank: number, congestion: number): void {
         const state = this.openEntry(route, rank);
         state.answers += 1;
         state.congestion += congestion;
     }
 
-    /** Counts a request that the local upstream is given. */
-    countRequest(route: string): void {
-        this.closeCountWindow();
-        this.requestCounts.set(route, (this.requestCounts.get(route) ?? 0) + 1);
-    }
-
-    /** Counts a call that the local upstream makes. */
-    countCall(route: string): void {
-        this.closeCountWindow();
-        this.callCounts.set(route, (this.callCounts.get(route) ?? 0) + 1);
-    }
-
     /** Records the congestion that the answer to a call of the local upstream reported, 0 to 1. */
     recordCall(route: string, congestion: number): void {
         const state = this.calls.get(route) ?? { congestion: 0, readAtMs: 0 };
-        state.congestion = this.fadeCongestion(state) * (1 - congestionWeight) + congestion * congestionWeight;
+        const faded = this.fadeCongestion(state);
+        state.congestion = faded + congestionWeight * (congestion - faded);
         state.readAtMs = this.readNowMs();
         this.calls.set(route, state);
     }
 
-    /** Records that a call of the local upstream was refused, so that its request is going to fail. */
-    recordRefusedCall(): void {
-        this.refusedCalls += 1;
-        this.lastRefusedCallMs = this.readNowMs();
-    }
-
-    /** Whether an error of the local upstream is explained by a refused call; each explains one error. */
-    takeRefusedCall(): boolean {
-        const isRecent = this.readNowMs() - this.lastRefusedCallMs < refusedCallMemoryMs;
-        if (this.refusedCalls === 0 || !isRecent) {
-            this.refusedCalls = 0;
-            return false;
-        }
-        this.refusedCalls -= 1;
-        return true;
-    }
-
-    /** Congestion that the calls of a route's requests meet further on, 0 to 1. */
-    computeBelow(route: string): number {
-        let below = 0;
-        this.calls.forEach((state, call) => {
-            if (state.congestion > below && this.fanOut.estimate(route, call) > 0) {
-                below = Math.max(below, this.fadeCongestion(state));
-            }
-        });
-        return below;
+    /** Whether nothing is congested on the way of a route, so that a second sending does no harm. */
+    isCalm(route: string, nested: boolean): boolean {
+        const state = nested ? this.calls.get(route) : undefined;
+        return state ? this.fadeCongestion(state) < calmCongestion : this.readShare(route) >= 1;
     }
 
     private fadeCongestion(state: CallState): number {
@@ -123,23 +95,18 @@
         const state = this.entries.get(route)
             ?? { share: 1, credit: 1, answers: 0, congestion: 0, windowStartMs: nowMs };
         this.entries.set(route, state);
-        if (nowMs - state.windowStartMs >= shareWindowMs) {
-            state.share = updateEntryShare(state.share, state, rank);
-            state.answers = 0;
-            state.congestion = 0;
-            state.windowStartMs = nowMs;
+        const windows = Math.floor((nowMs - state.windowStartMs) / shareWindowMs);
+        if (windows === 0) {
+            return state;
         }
-        return state;
-    }
-
-    private closeCountWindow(): void {
-        const nowMs = this.readNowMs();
-        if (nowMs - this.countsSinceMs < fanOutWindowMs) {
-            return;
+        const readings = { answers: state.answers, congestion: state.congestion };
+        state.share = updateEntryShare(state.share, readings, rank);
+        for (let idle = 1; idle < Math.min(windows, maxIdleWindows); idle += 1) {
+            state.share = updateEntryShare(state.share, { answers: 0, congestion: 0 }, rank);
         }
-        this.fanOut.addWindow(this.requestCounts, this.callCounts);
-        this.requestCounts = new Map();
-        this.callCounts = new Map();
-        this.countsSinceMs = nowMs;
+        state.answers = 0;
+        state.congestion = 0;
+        state.windowStartMs = nowMs;
+        return state;
     }
 }
--- a/src/relay/slotQueue/index.ts
+++ b/src/relay/slotQueue/index.ts
@@ -9,11 +9,19 @@
     readonly nested: boolean;
     readonly targetLatencyMs: number;
     readonly deadlineAtMs: number;
-    /** Called when the request holds a slot, which it has to release. */
-    run(): void;
+    /** Called when the request holds a slot, which it has to give back with the grant. */
+    run(grant: SlotGrant): void;
     refuse(reason: "full" | "expired"): void;
 }
 
+/** A slot that a request holds. */
+export interface SlotGrant {
+    readonly startedAtMs: number;
+    /** Whether the answer is so late that it has probably been lost. */
+    isOverdue: boolean;
+    timeout: Timeout | undefined;
+}
+
 interface Waiting {
     readonly applicant: SlotApplicant;
     readonly dueMs: number;
@@ -34,6 +42,13 @@
 const initialSlots = 8;
 /** Weight of one reading in the moving means. */
 const meanWeight = 0.05;
+/** A request counts as overdue after this many times the usual time, but not before the other, in milliseconds. */
+const overdueMeans = 8;
+const smallestOverdueMs = 300;
+/** Share of the slots that overdue requests may leave to others. */
+const maxOverdueShare = 0.8;
+/** Weight of a request of mean length in the share of slot time. */
+const shareWeight = 0.02;
 /** Mean time of a request before the first reading, in milliseconds. */
 const initialMeanMs = 50;
 /** Weight of a nested request's target in the order of the queue: work under way goes before new work. */
@@ -45,7 +60,10 @@
     private readonly meanMsByRoute = new Map<string, number>();
     private limit = initialSlots;
     private inFlight = 0;
+    private overdue = 0;
     private meanMs = 0;
+    /** Share of the slot time that requests of callers take. */
+    private directShare = 1;
 
     constructor(private readonly wheel: TimerWheel, private readonly readNowMs: () => number) {}
 
@@ -59,14 +77,18 @@
         return { inFlight: this.inFlight, queued: this.waiting.length, limit: this.limit, meanMs: this.meanMs };
     }
 
-    /** Computes how congested the upstream is for one more request, 0 to 1. */
-    computeCongestion(targetLatencyMs: number): number {
-        return computeCongestion(this.computeWait(this.waiting.length), targetLatencyMs);
+    /**
+     * Computes how congested the upstream is for one more request, 0 to 1. Where most of the work is nested, requests of
+     * callers can relieve it but little, and give way accordingly less.
+     */
+    computeCongestion(targetLatencyMs: number, nested: boolean): number {
+        const congestion = computeCongestion(this.computeWait(this.waiting.length), targetLatencyMs);
+        return nested ? congestion : congestion * Math.min(1, 2 * this.directShare);
     }
 
     /** Asks for a slot; the applicant is called back now or later. Returns what withdraws it. */
     apply(applicant: SlotApplicant): () => void {
-        if (this.inFlight < this.limit && this.waiting.length === 0) {
+        if (this.occupied < this.limit && this.waiting.length === 0) {
             this.start(applicant);
             return () => undefined;
         }
@@ -92,9 +114,14 @@
     }
 
     /** Gives a slot back; a request that came to an answer tells how long its kind takes. */
-    release(route: string, heldMs: number, answered: boolean): void {
+    release(grant: SlotGrant, { route, nested }: SlotApplicant, answered: boolean): void {
+        const heldMs = this.readNowMs() - grant.startedAtMs;
+        this.wheel.remove(grant.timeout);
         this.inFlight -= 1;
+        this.overdue -= grant.isOverdue ? 1 : 0;
         if (answered) {
+            const weight = Math.min(1, shareWeight * heldMs / (this.meanMs || heldMs || 1));
+            this.directShare += weight * ((nested ? 0 : 1) - this.directShare);
             this.meanMs = updateMean(this.meanMs || undefined, heldMs);
             this.meanMsByRoute.set(route, updateMean(this.meanMsByRoute.get(route), heldMs));
         }
@@ -102,7 +129,7 @@
     }
 
     private computeWait(ahead: number): number {
-        const { inFlight, limit } = this;
+        const { occupied: inFlight, limit } = this;
         return computeSlotWait({ inFlight, ahead, limit, meanMs: this.meanMs || initialMeanMs });
     }
 
@@ -132,16 +159,32 @@
     }
 
     private runWaiting(): void {
-        while (this.inFlight < this.limit && this.waiting.length > 0) {
+        while (this.occupied < this.limit && this.waiting.length > 0) {
             const { applicant, timeout } = this.waiting.shift()!;
             this.wheel.remove(timeout);
             this.start(applicant);
         }
     }
 
+    /**
+     * An answer that is lost would hold its slot until the deadline, although the upstream has long been done with it. So
+     * requests that are far later than usual count no more, up to a share of the slots.
+     */
     private start(applicant: SlotApplicant): void {
         this.inFlight += 1;
-        applicant.run();
+        const grant: SlotGrant = { startedAtMs: this.readNowMs(), isOverdue: false, timeout: undefined };
+        const usualMs = this.meanMsByRoute.get(applicant.route) ?? initialMeanMs;
+        grant.timeout = this.wheel.add(Math.max(smallestOverdueMs, overdueMeans * usualMs), () => {
+            grant.isOverdue = true;
+            this.overdue += 1;
+            this.runWaiting();
+        });
+        applicant.run(grant);
+    }
+
+    /** Requests that count against the limit. */
+    private get occupied(): number {
+        return this.inFlight - Math.min(this.overdue, this.limit * maxOverdueShare);
     }
 }
 
--- /dev/null
+++ b/src/relay/test.ts
@@ -0,0 +1,225 @@
+import { createRoute, createTable } from "../testing/createRoute";
+import {
+    answerWith,
+    type RelayFleet,
+    sendToEntry,
+    startRelayFleet,
+    testNames,
+    type UpstreamBehaviour,
+} from "../testing/startRelayFleet";
+
+const booking = createRoute({ name: "booking", prefix: "/booking/", idempotent: false, rank: 0 });
+const lookup = createRoute();
+const table = createTable(3, [lookup, booking]);
+
+const answerOk: UpstreamBehaviour = (request, response) => answerWith(request, response, 200, "whole");
+const breakOff: UpstreamBehaviour = request => request.socket.resetAndDestroy();
+
+let fleet: RelayFleet;
+
+const startFleet = async (...behaviours: readonly UpstreamBehaviour[]): Promise<RelayFleet> => {
+    fleet = await startRelayFleet(behaviours.map(behave => ["desk", behave] as const));
+    fleet.publish(table);
+    return fleet;
+};
+
+const countReceived = (): number => fleet.members.reduce((sum, { received }) => sum + received.length, 0);
+
+afterEach(() => fleet.stop());
+
+describe("a relay node without a routing table", () => {
+    it("says that the request was not run, and when to return", async () => {
+        fleet = await startRelayFleet([["desk", answerOk]]);
+        const answer = await sendToEntry(fleet.members[0]!);
+        expect(answer.status).toBe(503);
+        expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+    });
+});
+
+describe("a request through two nodes", () => {
+    it("comes to the upstream with what is left of its time, and without what the sender forged", async () => {
+        fleet = await startRelayFleet([["gate", answerOk], ["desk", answerOk]]);
+        fleet.publish(table);
+        const headers = { [testNames.callerService]: "forged", [testNames.target]: "forged", "x-kept": "yes" };
+        const answer = await sendToEntry(fleet.members[0]!, { id: "abc", headers, path: "/lookup/9?q=1" });
+        expect(answer).toMatchObject({ status: 200, body: "whole" });
+        expect(answer.headers[testNames.requestId]).toBe("abc");
+        const [request] = fleet.members[1]!.received;
+        expect(request!.url).toBe("/lookup/9?q=1");
+        expect(request!.headers).toMatchObject({
+            host: "desk.example",
+            "x-kept": "yes",
+            [testNames.requestId]: "abc",
+            [testNames.callerService]: "gate",
+            [testNames.target]: "i-1",
+        });
+        expect(Number(request!.headers[testNames.deadline])).toBeLessThanOrEqual(2_000);
+        expect(Number(request!.headers[testNames.deadline])).toBeGreaterThan(1_000);
+    });
+
+    it("is answered 404 when no route takes it", async () => {
+        await startFleet(answerOk);
+        expect((await sendToEntry(fleet.members[0]!, { path: "/unknown/" })).status).toBe(404);
+    });
+
+    it("passes a request's body and an upstream's error on unchanged", async () => {
+        let body = "";
+        await startFleet((request, response) => {
+            request.on("data", chunk => body += String(chunk));
+            request.on("end", () => answerWith(request, response, 409, "conflict"));
+        });
+        const answer = await sendToEntry(fleet.members[0]!, { method: "POST", path: "/booking/1", body: "berth 7" });
+        expect(answer).toMatchObject({ status: 409, body: "conflict" });
+        expect(body).toBe("berth 7");
+    });
+});
+
+describe("an upstream that breaks off", () => {
+    it("has an idempotent request sent to another one", async () => {
+        let failing = true;
+        const breakOnce: UpstreamBehaviour = (request, response) => {
+            if (!failing) {
+                answerOk(request, response);
+                return;
+            }
+            failing = false;
+            breakOff(request, response);
+        };
+        await startFleet(breakOnce, breakOnce);
+        expect(await sendToEntry(fleet.members[0]!)).toMatchObject({ status: 200, body: "whole" });
+        expect(countReceived()).toBe(2);
+    });
+
+    it("never has a request that must not run twice sent again, nor told as not run", async () => {
+        await startFleet(breakOff, breakOff);
+        const answer = await sendToEntry(fleet.members[0]!, { method: "POST", path: "/booking/1", body: "x" });
+        expect(answer.status).toBe(502);
+        expect(countReceived()).toBe(1);
+    });
+
+    it("in the middle of an answer without a length makes no whole answer", async () => {
+        await startFleet((request, response) => {
+            const id = String(request.headers[testNames.requestId]);
+            response.socket!.write(`HTTP/1.1 200 OK\r\n${testNames.requestId}: ${id}\r\nConnection: close\r\n\r\npart`);
+            setTimeout(() => request.socket.resetAndDestroy(), 20);
+        });
+        const answer = await sendToEntry(fleet.members[0]!, { path: "/booking/1", method: "POST" });
+        expect(answer.status).toBe(502);
+    });
+
+    it("ends an answer without a length regularly by closing the connection", async () => {
+        await startFleet((request, response) => {
+            const id = String(request.headers[testNames.requestId]);
+            response.socket!.end(`HTTP/1.1 200 OK\r\n${testNames.requestId}: ${id}\r\nConnection: close\r\n\r\nwhole`);
+        });
+        expect(await sendToEntry(fleet.members[0]!)).toMatchObject({ status: 200, body: "whole" });
+    });
+});
+
+describe("an answer that belongs to another request", () => {
+    it("is never passed on", async () => {
+        const answerForeign: UpstreamBehaviour = (_request, response) => {
+            response.writeHead(200, { [testNames.requestId]: "another" });
+            response.end("secret");
+        };
+        await startFleet(answerForeign);
+        const answer = await sendToEntry(fleet.members[0]!, { path: "/booking/1", method: "POST" });
+        expect(answer.status).toBe(502);
+        expect(answer.body).not.toContain("secret");
+    });
+});
+
+describe("an upstream that refuses", () => {
+    const refuse: UpstreamBehaviour = (_request, response) => {
+        response.writeHead(503, { [testNames.notRun]: "1" });
+        response.end();
+    };
+
+    it("has a request that must not run twice sent to another one, since it was not run", async () => {
+        let refusals = 0;
+        const refuseOnce: UpstreamBehaviour = (request, response) => {
+            refusals += 1;
+            (refusals === 1 ? refuse : answerOk)(request, response);
+        };
+        await startFleet(refuseOnce, refuseOnce);
+        const answer = await sendToEntry(fleet.members[0]!, { path: "/booking/1", method: "POST" });
+        expect(answer.status).toBe(200);
+    });
+
+    it("everywhere, leads to a true refusal with the time to return", async () => {
+        await startFleet(refuse, refuse);
+        const answer = await sendToEntry(fleet.members[0]!, { path: "/booking/1", method: "POST" });
+        expect(answer.status).toBe(503);
+        expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+        expect(countReceived()).toBe(2);
+    });
+});
+
+describe("a request whose time is over", () => {
+    it("gets its final answer at the route's timeout, and its work is broken off", async () => {
+        let broken = 0;
+        fleet = await startRelayFleet([["desk", request => {
+            request.socket.once("close", () => broken += 1);
+        }]]);
+        fleet.publish(createTable(1, [createRoute({ timeoutMs: 150 })]));
+        const startMs = performance.now();
+        const answer = await sendToEntry(fleet.members[0]!, { deadlineMs: 60_000 });
+        expect(answer.status).toBe(504);
+        expect(performance.now() - startMs).toBeGreaterThanOrEqual(150);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(broken).toBe(1);
+    });
+});
+
+describe("a version that other nodes have in force", () => {
+    it("reaches a node that the platform does not reach", async () => {
+        fleet = await startRelayFleet([["gate", answerOk], ["desk", answerOk]]);
+        fleet.publish(table);
+        const [gate, desk] = fleet.members;
+        const renamed = createTable(9, [{ ...lookup, prefix: "/renamed/" }]);
+        desk!.source.publish(renamed, undefined);
+        expect((await sendToEntry(gate!)).status).toBe(200);
+        await new Promise(resolve => setTimeout(resolve, 300));
+        expect((await sendToEntry(gate!, { path: "/renamed/1" })).status).toBe(200);
+        expect((await sendToEntry(gate!)).status).toBe(404);
+    });
+
+    it("is never replaced by an older one", async () => {
+        await startFleet(answerOk);
+        fleet.members[0]!.source.publish(createTable(2, []), undefined);
+        expect((await sendToEntry(fleet.members[0]!)).status).toBe(200);
+    });
+});
+
+describe("a draining upstream", () => {
+    it("gets no new request", async () => {
+        await startFleet(answerOk, answerOk);
+        const records = fleet.members.map(({ record }, index) =>
+            index === 0 ? { ...record, state: "draining" as const } : record
+        );
+        fleet.members.forEach(({ source }) => source.publish(undefined, records));
+        for (let count = 0; count < 10; count += 1) {
+            expect((await sendToEntry(fleet.members[0]!)).status).toBe(200);
+        }
+        expect(fleet.members[0]!.received.length).toBe(0);
+    });
+});
+
+describe("the stop of a node", () => {
+    it("cuts off no request, and has other nodes send elsewhere", async () => {
+        const answerLate: UpstreamBehaviour = (request, response) => {
+            setTimeout(() => answerOk(request, response), 300);
+        };
+        await startFleet(answerLate, answerLate);
+        const [first] = fleet.members;
+        const pending = Array.from({ length: 6 }, (_, index) => sendToEntry(first!, { id: `p-${index}` }));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const before = first!.received.length;
+        const stopped = first!.node.stop();
+        const later = await Promise.all(Array.from({ length: 4 }, () => sendToEntry(first!)));
+        expect((await Promise.all(pending)).map(({ status }) => status)).toEqual([200, 200, 200, 200, 200, 200]);
+        expect(later.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+        expect(first!.received.length).toBe(before);
+        await stopped;
+    });
+});
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -4,7 +4,7 @@
 import { type RequestBody } from "../tasks/_lib/readBody";
 import { type Address } from "../types";
 
-/** Names of the headers by which callers, nodes and upstreams understand each other; all in lower case. */
+/** Names by which callers, nodes and upstreams understand each other; headers are in lower case. */
 export interface HeaderNames {
     /** Names a request; upstreams repeat it on the answer. */
     readonly requestId: string;
@@ -16,6 +16,8 @@
     readonly target: string;
     /** Present on answers that say that the request was not run. */
     readonly notRun: string;
+    /** Stands between the id of a request and what an upstream appends to it for the calls that it makes. */
+    readonly callSeparator: string;
 }
 
 /** Settings of a relay node. */
@@ -42,6 +44,8 @@
     readonly repeatWindowMs: number;
     /** Longest time from the stop signal to the end of the process, in milliseconds. */
     readonly stopGraceMs: number;
+    /** Time that callers take to learn by readiness that the node is leaving, in milliseconds. */
+    readonly leaveAfterMs: number;
     readonly logLevel: string;
 }
 
@@ -102,7 +106,8 @@
 export interface HopOwner {
     /** Asked when an answer is too long to be kept whole; returns where it goes. */
     openStream(head: AnswerHead): AnswerSink;
-    settle(result: HopResult): void;
+    /** Told once, with what the node of the upstream says of it, if it has said anything. */
+    settle(result: HopResult, report: LoadReport | undefined): void;
 }
 
 /** What a node says of its upstream on each answer to another node. */
--- /dev/null
+++ b/src/routing/matchRoute/test.ts
@@ -0,0 +1,25 @@
+import { createRoute, createTable } from "../../testing/createRoute";
+import { createRoutingIndex } from "../createRoutingIndex";
+import { matchRoute } from "./index";
+
+const createIndex = () =>
+    createRoutingIndex(createTable(1, [
+        createRoute({ name: "short", prefix: "/a/" }),
+        createRoute({ name: "long", prefix: "/a/b/" }),
+        createRoute({ name: "other", host: "other.example", prefix: "/" }),
+    ]));
+
+describe("matchRoute", () => {
+    it("takes the longest prefix of the host", () => {
+        expect(matchRoute(createIndex(), "desk.example", "/a/b/c?x=/z/")?.name).toBe("long");
+        expect(matchRoute(createIndex(), "DESK.example:80", "/a/bc")?.name).toBe("short");
+        expect(matchRoute(createIndex(), "other.example", "/whatever")?.name).toBe("other");
+    });
+
+    it("finds nothing for another host or path, and looks only at whole segments", () => {
+        expect(matchRoute(createIndex(), "unknown.example", "/a/b/")).toBeUndefined();
+        expect(matchRoute(createIndex(), "desk.example", "/ab/")).toBeUndefined();
+        expect(matchRoute(createIndex(), "desk.example", "/a")).toBeUndefined();
+        expect(matchRoute(createIndex(), "desk.example", "/q?/a/")).toBeUndefined();
+    });
+});
--- a/src/tasks/_lib/answerSink.ts
+++ b/src/tasks/_lib/answerSink.ts
@@ -76,6 +76,29 @@
     }
 }
 
+/** Takes an answer that nobody waits for. */
+export class DiscardingSink implements AnswerSink {
+    start(): void {
+        return;
+    }
+
+    write(): boolean {
+        return true;
+    }
+
+    onDrain(resume: () => void): void {
+        resume();
+    }
+
+    end(): void {
+        return;
+    }
+
+    abort(): void {
+        return;
+    }
+}
+
 /** A whole answer that was kept. */
 export interface RecordedAnswer {
     readonly head: AnswerHead;
--- /dev/null
+++ b/src/testing/startRelayFleet.ts
@@ -0,0 +1,178 @@
+import { createServer, type IncomingMessage, request as sendRequest, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, type Socket } from "node:net";
+import pino from "pino";
+import { RelayNode } from "../relay/node";
+import { type FleetSource, type SourceListener } from "../relay/source";
+import { type HeaderNames, type RelaySettings } from "../relay/types";
+import { type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { createRecord } from "./createRoute";
+import { findFreePorts } from "./findFreePort";
+
+/** Header names used in tests. */
+export const testNames: HeaderNames = {
+    requestId: "x-request",
+    deadline: "x-deadline",
+    callerService: "x-caller-service",
+    target: "x-target",
+    notRun: "x-not-run",
+    callSeparator: ".",
+};
+
+/** How an upstream of a test behaves; the default answers 200 with its own id. */
+export type UpstreamBehaviour = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** A source that a test writes to. */
+export class FakeSource implements FleetSource {
+    private listener: SourceListener | undefined;
+
+    start(listener: SourceListener): void {
+        this.listener = listener;
+    }
+
+    stop(): void {
+        this.listener = undefined;
+    }
+
+    /** Publishes a table, a list of upstreams, or both. */
+    publish(table: RoutingTable | undefined, upstreams: readonly UpstreamRecord[] | undefined): void {
+        if (table) {
+            this.listener?.onRouting(table);
+        }
+        if (upstreams) {
+            this.listener?.onUpstreams(upstreams);
+        }
+    }
+}
+
+/** One instance of a test fleet: an upstream with its node. */
+export interface FleetMember {
+    readonly host: string;
+    readonly node: RelayNode;
+    readonly source: FakeSource;
+    readonly record: UpstreamRecord;
+    readonly settings: RelaySettings;
+    /** Requests that the upstream has received. */
+    readonly received: IncomingMessage[];
+}
+
+/** A fleet on loopback. */
+export interface RelayFleet {
+    readonly members: readonly FleetMember[];
+    /** Publishes to all members. */
+    publish(table: RoutingTable): void;
+    stop(): Promise<void>;
+}
+
+/** Answers with the id of the request, as upstreams do. */
+export const answerWith = (request: IncomingMessage, response: ServerResponse, status: number, body: string): void => {
+    response.writeHead(status, { [testNames.requestId]: String(request.headers[testNames.requestId]) });
+    response.end(body);
+};
+
+/** Entry, peers, control and admin. */
+const portsPerNode = 4;
+
+const listen = (server: Server, host: string): Promise<number> =>
+    new Promise(resolve => {
+        server.listen(0, host, () => resolve((server.address() as AddressInfo).port));
+    });
+
+const createSettings = (host: string, service: string, upstreamPort: number, port: number): RelaySettings => ({
+    node: `node-${host}`,
+    host,
+    service,
+    failureDomain: "pvl-a",
+    entry: { host, port },
+    peers: { host, port: port + 1 },
+    admin: { host, port: port + 3 },
+    upstream: { host, port: upstreamPort },
+    platform: { host, port: 1 },
+    readinessPath: "/ready",
+    repeatRatio: 0.2,
+    repeatSlack: 47,
+    repeatWindowMs: 10_000,
+    stopGraceMs: 3_000,
+    leaveAfterMs: 100,
+    logLevel: "silent",
+});
+
+/** Starts one upstream with its node for each service named; addresses are 127.0.0.2 and following. */
+export const startRelayFleet = async (
+    services: readonly (readonly [service: string, behave: UpstreamBehaviour])[],
+): Promise<RelayFleet> => {
+    const [port] = await findFreePorts(portsPerNode);
+    const servers: Server[] = [];
+    const sockets = new Set<Socket>();
+    const members = await Promise.all(services.map(async ([service, behave], index): Promise<FleetMember> => {
+        const host = `127.0.0.${index + 2}`;
+        const received: IncomingMessage[] = [];
+        const server = createServer((request, response) => {
+            received.push(request);
+            behave(request, response);
+        });
+        server.on("connection", socket => sockets.add(socket));
+        servers.push(server);
+        const upstreamPort = await listen(server, host);
+        const settings = createSettings(host, service, upstreamPort, port!);
+        const source = new FakeSource();
+        const node = new RelayNode(settings, testNames, source, pino({ level: "silent" }));
+        await node.start();
+        const record = createRecord({ id: `i-${index}`, service, host, port: upstreamPort });
+        return { host, node, source, record, settings, received };
+    }));
+    return {
+        members,
+        publish: table =>
+            members.forEach(({ source }) => source.publish(table, members.map(({ record }) => record))),
+        stop: async () => {
+            sockets.forEach(socket => socket.destroy());
+            servers.forEach(server => server.close());
+            await Promise.all(members.map(({ node }) => node.stop()));
+        },
+    };
+};
+
+/** Answer to a test request; `status` is 0 when the connection broke off. */
+export interface TestAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+    readonly body: string;
+}
+
+/** A request of a test. */
+export interface TestRequest {
+    readonly path?: string;
+    readonly method?: string;
+    readonly id?: string;
+    readonly deadlineMs?: number;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Sends a request to the entry of a member. */
+export const sendToEntry = (member: FleetMember, order: TestRequest = {}): Promise<TestAnswer> =>
+    new Promise(resolve => {
+        const { host, port } = member.settings.entry;
+        const request = sendRequest({
+            host,
+            port,
+            path: order.path ?? "/lookup/1",
+            method: order.method ?? "GET",
+            agent: false,
+            headers: {
+                host: "desk.example",
+                [testNames.requestId]: order.id ?? "r-1",
+                [testNames.deadline]: String(order.deadlineMs ?? 2_000),
+                ...order.headers,
+            },
+        }, response => {
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            const finish = (status: number): void =>
+                resolve({ status, headers: response.headers, body: Buffer.concat(chunks).toString() });
+            response.once("end", () => finish(response.statusCode ?? 0));
+            response.once("error", () => finish(0));
+        });
+        request.once("error", () => resolve({ status: 0, headers: {}, body: "" }));
+        request.end(order.body);
+    });
