--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 const verbRule = createVerbRule(new URL("./docs/verbs.md", import.meta.url));
 
 export default tseslint.config(
-    { ignores: ["dist", "node_modules", "docs"] },
+    { ignores: ["dist", "target", "node_modules", "docs"] },
     eslint.configs.recommended,
     ...tseslint.configs.recommended,
     {
@@ -13,7 +13,7 @@
         languageOptions: { globals: { process: "readonly", URL: "readonly" } },
     },
     {
-        files: ["src/**/*.ts", "bench/**/*.ts"],
+        files: ["src/**/*.ts", "bench/**/*.ts", "platform/**/*.ts"],
         plugins: { local: { rules: { verb: verbRule } } },
         languageOptions: { parserOptions: { projectService: true } },
         rules: {
--- a/src/decisions/computeHedgeDelay/test.ts
+++ b/src/decisions/computeHedgeDelay/test.ts
@@ -5,7 +5,7 @@
 
 describe("computeHedgeDelay for answers that are lost", () => {
     it("waits well beyond the usual time", () => {
-        const mean = createMean(Array.from({ length: 40 }, (_, index) => index % 2 === 0 ? 180 : 220));
+        const mean = createMean(Array.from({ length: 40 }, (unused, index) => index % 2 === 0 ? 180 : 220));
         expect(computeHedgeDelay(mean)).toBeGreaterThan(280);
         expect(computeHedgeDelay(mean)).toBeLessThan(400);
     });
--- a/src/decisions/repeatBudget/test.ts
+++ b/src/decisions/repeatBudget/test.ts
@@ -3,7 +3,7 @@
 const allowance = { ratio: 0.2, slack: 47, windowMs: 10_000 };
 
 /** Plays nodes that repeat as often as they may; returns the most repeats in any window, and the requests in it. */
-const playNodes = (nodes: number, requestsPerSecond: number): { repeats: number; requests: number; } => {
+const runNodes = (nodes: number, requestsPerSecond: number): { repeats: number; requests: number; } => {
     const budgets = Array.from({ length: nodes }, () => new RepeatBudget(allowance, nodes, 0));
     const repeatTimes: number[] = [];
     for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
@@ -26,13 +26,13 @@
 
 describe("RepeatBudget when every request fails", () => {
     it.each([1, 12, 86])("keeps %i nodes together within the allowance in every window", nodes => {
-        const { repeats, requests } = playNodes(nodes, 20);
+        const { repeats, requests } = runNodes(nodes, 20);
         expect(repeats).toBeLessThanOrEqual(allowance.ratio * requests + allowance.slack);
         expect(repeats).toBeGreaterThan(0.05 * requests);
     });
 
     it("keeps idle nodes within the slack", () => {
-        const { repeats } = playNodes(12, 0.1);
+        const { repeats } = runNodes(12, 0.1);
         expect(repeats).toBeLessThanOrEqual(allowance.slack + 0.2 * 12);
     });
 });
--- a/src/relay/connectionPool/index.ts
+++ b/src/relay/connectionPool/index.ts
@@ -91,7 +91,7 @@
     }
 
     /** Breaks all connections off. */
-    destroy(): void {
+    abort(): void {
         this.close();
         this.busy.forEach(({ client }) => void client.destroy());
     }
@@ -112,7 +112,7 @@
             pipelining: 1,
             keepAliveTimeout: idleTimeoutMs,
             keepAliveMaxTimeout: idleTimeoutMs,
-            connect: (_options: buildConnector.Options, callback: buildConnector.Callback) =>
+            connect: (unused: buildConnector.Options, callback: buildConnector.Callback) =>
                 openSocket(this.address, callback, this.options.onActivity),
         });
         return { client, idleSinceMs: 0 };
--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -6,14 +6,16 @@
 export const hopHeader = "pomelovalve-hop";
 
 /** What one node tells another of a request. */
-export type HopRequestFields = Pick<
-    HopOrder,
-    "route" | "callerService" | "upstreamId" | "idempotent" | "nested" | "rank" | "targetLatencyMs"
-> & {
-    readonly remainingMs: number;
-    /** Version of the routing table that the sender has in force, 0 for none. */
-    readonly version: number;
-};
+export type HopRequestFields =
+    & Pick<
+        HopOrder,
+        "route" | "callerService" | "upstreamId" | "idempotent" | "nested" | "rank" | "targetLatencyMs"
+    >
+    & {
+        readonly remainingMs: number;
+        /** Version of the routing table that the sender has in force, 0 for none. */
+        readonly version: number;
+    };
 
 /** What the node of an upstream says became of a request. */
 export type HopOutcome =
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -128,7 +128,7 @@
     sendAnswer(sink, "GET", { status, rawHeaders }, body);
 
 const removeLength = (rawHeaders: readonly string[]): readonly string[] =>
-    rawHeaders.filter((_, index) => rawHeaders[index - index % 2]!.toLowerCase() !== "content-length");
+    rawHeaders.filter((unused, index) => rawHeaders[index - index % 2]!.toLowerCase() !== "content-length");
 
 /** Sends an answer that is there as a whole; its length is stated anew, unless it has no body by its nature. */
 export const sendAnswer = (sink: AnswerSink, method: string, head: AnswerHead, body: Buffer): void => {
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -2,8 +2,8 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
 import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
-import { type ActiveRequest, type ActiveRequests, computeCallCongestion } from "../activeRequests";
 import { AnswerBuffer } from "../_lib/answerBuffer";
+import { type ActiveRequest, type ActiveRequests, computeCallCongestion } from "../activeRequests";
 import { type SlotApplicant, type SlotGrant, type SlotQueue } from "../slotQueue";
 import { type HeaderNames, type HopOrder, type HopOwner, type HopResult, type NotRunReason } from "../types";
 
--- a/src/relay/metrics/index.ts
+++ b/src/relay/metrics/index.ts
@@ -36,13 +36,22 @@
 
     constructor(readFigures: () => RelayFigures) {
         const gauges: readonly (readonly [string, string, () => number])[] = [
-            ["pomelovalve_in_flight_requests", "Requests that the local upstream is running.", () =>
-                readFigures().inFlight],
+            [
+                "pomelovalve_in_flight_requests",
+                "Requests that the local upstream is running.",
+                () => readFigures().inFlight,
+            ],
             ["pomelovalve_queued_requests", "Requests that wait for a slot.", () => readFigures().queued],
-            ["pomelovalve_concurrency_limit", "Requests that the local upstream may run at once.", () =>
-                readFigures().limit],
-            ["pomelovalve_routing_version", "Version of the routing table in force, 0 for none.", () =>
-                readFigures().version],
+            [
+                "pomelovalve_concurrency_limit",
+                "Requests that the local upstream may run at once.",
+                () => readFigures().limit,
+            ],
+            [
+                "pomelovalve_routing_version",
+                "Version of the routing table in force, 0 for none.",
+                () => readFigures().version,
+            ],
             ["pomelovalve_known_upstreams", "Upstreams in the list.", () => readFigures().upstreams],
             ["pomelovalve_resident_memory_bytes", "Resident memory of the node.", () => process.memoryUsage.rss()],
         ];
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -17,8 +17,8 @@
 import { Ingress } from "./ingress";
 import { DecisionLog } from "./log";
 import { RelayMetrics } from "./metrics";
-import { Peers } from "./peers";
 import { PauseGuard } from "./pauseGuard";
+import { Peers } from "./peers";
 import { PoisonGuard } from "./poisonGuard";
 import { RoutingInForce } from "./routing";
 import { Shedding } from "./shedding";
@@ -215,7 +215,7 @@
         await Promise.all(this.servers.map(closeListener));
         this.peers.stop();
         this.pauseGuard.stop();
-        this.upstream.destroy();
+        this.upstream.abort();
         this.wheel.stop();
     }
 
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -1,8 +1,8 @@
 /** Requests under way to the nodes of other instances, and the watch for nodes that have fallen silent. */
-import { type Address } from "../../types";
 import { Attempt } from "../../tasks/_lib/attempt";
 import { type Clock } from "../../tasks/_lib/clock";
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
+import { type Address } from "../../types";
 import { ConnectionPool } from "../connectionPool";
 import { RemoteHop } from "../hop/remoteHop";
 import { type HopOrder, type HopOwner } from "../types";
@@ -55,7 +55,7 @@
 
     stop(): void {
         this.stopWatch?.();
-        this.peers.forEach(({ pool }) => pool.destroy());
+        this.peers.forEach(({ pool }) => pool.abort());
         this.peers.clear();
     }
 
@@ -112,7 +112,7 @@
                 return;
             }
             if (!peer.isProbing && this.isSilent(peer, nowMs)) {
-                this.probe(host, peer);
+                this.queryLife(host, peer);
             }
         });
     }
@@ -125,7 +125,7 @@
     }
 
     /** Asks a silent node for any answer on a connection of its own or an idle one. */
-    private probe(host: string, peer: Peer): void {
+    private queryLife(host: string, peer: Peer): void {
         peer.isProbing = true;
         const attempt = new Attempt("GET", {
             takeAnswer: () => undefined,
@@ -136,7 +136,7 @@
                     peer.lastActivityMs = this.parts.clock.readMonotonicMs();
                     return;
                 }
-                this.giveUp(host, peer);
+                this.releaseStuck(host, peer);
             },
         });
         const timeout = this.parts.wheel.add(probeTimeoutMs, () => attempt.abort("timeout"));
@@ -147,7 +147,7 @@
      * Frees the requests at a silent node that may be repeated. The others wait on: the node may have passed them on, and
      * its answer may still come.
      */
-    private giveUp(host: string, peer: Peer): void {
+    private releaseStuck(host: string, peer: Peer): void {
         const stuck = [...peer.active].filter(({ startedAtMs }) => startedAtMs < peer.lastActivityMs + silenceMs * 2);
         this.parts.onSilent(host, [...new Set([...peer.active].map(({ order }) => order.upstreamId))]);
         stuck.filter(({ order }) => order.idempotent).forEach(({ hop }) => hop.cancel("connection"));
--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -30,9 +30,13 @@
     private readonly quarantine: Quarantine;
     private breaks: Break[] = [];
 
-    constructor(private readonly node: string, private readonly clock: Clock, private readonly parts: PoisonGuardParts) {
+    constructor(
+        private readonly node: string,
+        private readonly clock: Clock,
+        private readonly parts: PoisonGuardParts,
+    ) {
         this.quarantine = new Quarantine(node, clock, this.bus);
-        this.bus.subscribe("suspectFound", ({ fingerprint }) => this.tellPeers(fingerprint));
+        this.bus.subscribe("suspectFound", ({ fingerprint }) => this.publishSuspect(fingerprint));
         this.bus.subscribe("audited", ({ audit }) => parts.log.write(audit.event, audit.fields));
     }
 
@@ -48,7 +52,10 @@
     recordLoss(order: HopOrder, sent: boolean): void {
         const nowMs = this.clock.readMonotonicMs();
         if (sent) {
-            this.breaks = [...this.breaks.slice(1 - maxSuspects), { fingerprint: computeFingerprint(order), atMs: nowMs }];
+            this.breaks = [...this.breaks.slice(1 - maxSuspects), {
+                fingerprint: computeFingerprint(order),
+                atMs: nowMs,
+            }];
             return;
         }
         const suspects = this.breaks.filter(({ atMs }) => nowMs - atMs < deathWindowMs);
@@ -68,7 +75,7 @@
         this.bus.publish({ kind: "suspectReported", fingerprint, endpoint: node });
     }
 
-    private tellPeers(fingerprint: string): void {
+    private publishSuspect(fingerprint: string): void {
         this.parts.listPeers().forEach(address => void sendSuspect(address, fingerprint, this.node));
     }
 }
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -43,7 +43,7 @@
     }
 
     /** Decides whether a request of a caller is let in. One that was refused before goes ahead of new ones. */
-    admit(route: string, rank: number, identity: string): boolean {
+    tryAdmit(route: string, rank: number, identity: string): boolean {
         const state = this.openEntry(route, rank);
         if (state.share >= 1 && state.credit >= 1) {
             return true;
@@ -73,7 +73,7 @@
     /** Records the congestion that the answer to a call of the local upstream reported, 0 to 1. */
     recordCall(route: string, congestion: number): void {
         const state = this.calls.get(route) ?? { congestion: 0, readAtMs: 0 };
-        const faded = this.fadeCongestion(state);
+        const faded = this.computeFaded(state);
         state.congestion = faded + congestionWeight * (congestion - faded);
         state.readAtMs = this.readNowMs();
         this.calls.set(route, state);
@@ -82,10 +82,10 @@
     /** Whether nothing is congested on the way of a route, so that a second sending does no harm. */
     isCalm(route: string, nested: boolean): boolean {
         const state = nested ? this.calls.get(route) : undefined;
-        return state ? this.fadeCongestion(state) < calmCongestion : this.readShare(route) >= 1;
+        return state ? this.computeFaded(state) < calmCongestion : this.readShare(route) >= 1;
     }
 
-    private fadeCongestion(state: CallState): number {
+    private computeFaded(state: CallState): number {
         const ageMs = this.readNowMs() - state.readAtMs;
         return ageMs > fadeMs ? state.congestion * Math.exp(1 - ageMs / fadeMs) : state.congestion;
     }
--- a/src/relay/slotQueue/test.ts
+++ b/src/relay/slotQueue/test.ts
@@ -35,7 +35,7 @@
     it("keeps a part of the declared slots free, since upstreams slow down when they are nearly full", () => {
         const { queue, apply } = createQueue(20);
         const events: string[] = [];
-        Array.from({ length: 25 }, (_, index) => apply(`r${index}`, events));
+        Array.from({ length: 25 }, (unused, index) => apply(`r${index}`, events));
         expect(queue.readFigures()).toMatchObject({ inFlight: 19, limit: 19, queued: 6 });
     });
 
@@ -52,7 +52,7 @@
     it("refuses a new request at once when its answer would come too late", () => {
         const { queue, apply } = createQueue(1);
         const events: string[] = [];
-        Array.from({ length: 13 }, (_, index) => apply(`r${index}`, events));
+        Array.from({ length: 13 }, (unused, index) => apply(`r${index}`, events));
         expect(events).toEqual(["r0 runs", "r11 full", "r12 full"]);
         expect(queue.readFigures().queued).toBe(10);
     });
@@ -60,7 +60,7 @@
     it("reports congestion before anything is refused", () => {
         const { queue, apply } = createQueue(1);
         const events: string[] = [];
-        Array.from({ length: 9 }, (_, index) => apply(`r${index}`, events));
+        Array.from({ length: 9 }, (unused, index) => apply(`r${index}`, events));
         expect(events).toEqual(["r0 runs"]);
         expect(queue.computeCongestion(500, false)).toBeGreaterThan(0.8);
     });
@@ -81,9 +81,9 @@
     it("never frees all slots, in case the upstream is only slow", () => {
         const { clock, queue, apply } = createQueue(11);
         const events: string[] = [];
-        Array.from({ length: 10 }, (_, index) => apply(`lost${index}`, events));
+        Array.from({ length: 10 }, (unused, index) => apply(`lost${index}`, events));
         clock.runUntil(600);
-        Array.from({ length: 20 }, (_, index) => apply(`next${index}`, events, { nested: true }));
+        Array.from({ length: 20 }, (unused, index) => apply(`next${index}`, events, { nested: true }));
         expect(queue.readFigures().inFlight).toBe(18);
     });
 });
--- a/src/relay/test.ts
+++ b/src/relay/test.ts
@@ -1,8 +1,8 @@
 import { createRoute, createTable } from "../testing/createRoute";
 import {
-    answerWith,
     type RelayFleet,
     sendToEntry,
+    sendUpstreamAnswer,
     startRelayFleet,
     testNames,
     type UpstreamBehaviour,
@@ -12,8 +12,8 @@
 const lookup = createRoute();
 const table = createTable(3, [lookup, booking]);
 
-const answerOk: UpstreamBehaviour = (request, response) => answerWith(request, response, 200, "whole");
-const breakOff: UpstreamBehaviour = request => request.socket.resetAndDestroy();
+const sendWholeAnswer: UpstreamBehaviour = (request, response) => sendUpstreamAnswer(request, response, 200, "whole");
+const abortAnswer: UpstreamBehaviour = request => request.socket.resetAndDestroy();
 
 let fleet: RelayFleet;
 
@@ -29,7 +29,7 @@
 
 describe("a relay node without a routing table", () => {
     it("says that the request was not run, and when to return", async () => {
-        fleet = await startRelayFleet([["desk", answerOk]]);
+        fleet = await startRelayFleet([["desk", sendWholeAnswer]]);
         const answer = await sendToEntry(fleet.members[0]!);
         expect(answer.status).toBe(503);
         expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
@@ -38,7 +38,7 @@
 
 describe("a request through two nodes", () => {
     it("comes to the upstream with what is left of its time, and without what the sender forged", async () => {
-        fleet = await startRelayFleet([["gate", answerOk], ["desk", answerOk]]);
+        fleet = await startRelayFleet([["gate", sendWholeAnswer], ["desk", sendWholeAnswer]]);
         fleet.publish(table);
         const headers = { [testNames.callerService]: "forged", [testNames.target]: "forged", "x-kept": "yes" };
         const answer = await sendToEntry(fleet.members[0]!, { id: "abc", headers, path: "/lookup/9?q=1" });
@@ -58,7 +58,7 @@
     });
 
     it("is answered 404 when no route takes it", async () => {
-        await startFleet(answerOk);
+        await startFleet(sendWholeAnswer);
         expect((await sendToEntry(fleet.members[0]!, { path: "/unknown/" })).status).toBe(404);
     });
 
@@ -66,7 +66,7 @@
         let body = "";
         await startFleet((request, response) => {
             request.on("data", chunk => body += String(chunk));
-            request.on("end", () => answerWith(request, response, 409, "conflict"));
+            request.on("end", () => sendUpstreamAnswer(request, response, 409, "conflict"));
         });
         const answer = await sendToEntry(fleet.members[0]!, { method: "POST", path: "/booking/1", body: "berth 7" });
         expect(answer).toMatchObject({ status: 409, body: "conflict" });
@@ -79,11 +79,11 @@
         let failing = true;
         const breakOnce: UpstreamBehaviour = (request, response) => {
             if (!failing) {
-                answerOk(request, response);
+                sendWholeAnswer(request, response);
                 return;
             }
             failing = false;
-            breakOff(request, response);
+            abortAnswer(request, response);
         };
         await startFleet(breakOnce, breakOnce);
         expect(await sendToEntry(fleet.members[0]!)).toMatchObject({ status: 200, body: "whole" });
@@ -91,7 +91,7 @@
     });
 
     it("never has a request that must not run twice sent again, nor told as not run", async () => {
-        await startFleet(breakOff, breakOff);
+        await startFleet(abortAnswer, abortAnswer);
         const answer = await sendToEntry(fleet.members[0]!, { method: "POST", path: "/booking/1", body: "x" });
         expect(answer.status).toBe(502);
         expect(countReceived()).toBe(1);
@@ -118,7 +118,7 @@
 
 describe("an answer that belongs to another request", () => {
     it("is never passed on", async () => {
-        const answerForeign: UpstreamBehaviour = (_request, response) => {
+        const answerForeign: UpstreamBehaviour = (unused, response) => {
             response.writeHead(200, { [testNames.requestId]: "another" });
             response.end("secret");
         };
@@ -130,7 +130,7 @@
 });
 
 describe("an upstream that refuses", () => {
-    const refuse: UpstreamBehaviour = (_request, response) => {
+    const refuse: UpstreamBehaviour = (unused, response) => {
         response.writeHead(503, { [testNames.notRun]: "1" });
         response.end();
     };
@@ -139,7 +139,7 @@
         let refusals = 0;
         const refuseOnce: UpstreamBehaviour = (request, response) => {
             refusals += 1;
-            (refusals === 1 ? refuse : answerOk)(request, response);
+            (refusals === 1 ? refuse : sendWholeAnswer)(request, response);
         };
         await startFleet(refuseOnce, refuseOnce);
         const answer = await sendToEntry(fleet.members[0]!, { path: "/booking/1", method: "POST" });
@@ -173,7 +173,7 @@
 
 describe("a version that other nodes have in force", () => {
     it("reaches a node that the platform does not reach", async () => {
-        fleet = await startRelayFleet([["gate", answerOk], ["desk", answerOk]]);
+        fleet = await startRelayFleet([["gate", sendWholeAnswer], ["desk", sendWholeAnswer]]);
         fleet.publish(table);
         const [gate, desk] = fleet.members;
         const renamed = createTable(9, [{ ...lookup, prefix: "/renamed/" }]);
@@ -185,7 +185,7 @@
     });
 
     it("is never replaced by an older one", async () => {
-        await startFleet(answerOk);
+        await startFleet(sendWholeAnswer);
         fleet.members[0]!.source.publish(createTable(2, []), undefined);
         expect((await sendToEntry(fleet.members[0]!)).status).toBe(200);
     });
@@ -193,7 +193,7 @@
 
 describe("a draining upstream", () => {
     it("gets no new request", async () => {
-        await startFleet(answerOk, answerOk);
+        await startFleet(sendWholeAnswer, sendWholeAnswer);
         const records = fleet.members.map(({ record }, index) =>
             index === 0 ? { ...record, state: "draining" as const } : record
         );
@@ -208,11 +208,11 @@
 describe("the stop of a node", () => {
     it("cuts off no request, and has other nodes send elsewhere", async () => {
         const answerLate: UpstreamBehaviour = (request, response) => {
-            setTimeout(() => answerOk(request, response), 300);
+            setTimeout(() => sendWholeAnswer(request, response), 300);
         };
         await startFleet(answerLate, answerLate);
         const [first] = fleet.members;
-        const pending = Array.from({ length: 6 }, (_, index) => sendToEntry(first!, { id: `p-${index}` }));
+        const pending = Array.from({ length: 6 }, (unused, index) => sendToEntry(first!, { id: `p-${index}` }));
         await new Promise(resolve => setTimeout(resolve, 50));
         const before = first!.received.length;
         const stopped = first!.node.stop();
--- a/src/relay/viewSync.ts
+++ b/src/relay/viewSync.ts
@@ -28,10 +28,10 @@
         }
         this.isAsking = true;
         this.lastAskedMs = readNowMs();
-        void this.ask(host);
+        void this.query(host);
     }
 
-    private async ask(host: string): Promise<void> {
+    private async query(host: string): Promise<void> {
         const view = await queryView({ host, port: this.parts.controlPort });
         this.isAsking = false;
         if (view) {
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -1,4 +1,10 @@
-import { createServer, type IncomingMessage, request as sendRequest, type Server, type ServerResponse } from "node:http";
+import {
+    createServer,
+    type IncomingMessage,
+    request as sendRequest,
+    type Server,
+    type ServerResponse,
+} from "node:http";
 import { type AddressInfo, type Socket } from "node:net";
 import pino from "pino";
 import { RelayNode } from "../relay/node";
@@ -64,7 +70,12 @@
 }
 
 /** Answers with the id of the request, as upstreams do. */
-export const answerWith = (request: IncomingMessage, response: ServerResponse, status: number, body: string): void => {
+export const sendUpstreamAnswer = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    body: string,
+): void => {
     response.writeHead(status, { [testNames.requestId]: String(request.headers[testNames.requestId]) });
     response.end(body);
 };
@@ -72,7 +83,7 @@
 /** Entry, peers, control and admin. */
 const portsPerNode = 4;
 
-const listen = (server: Server, host: string): Promise<number> =>
+const openServer = (server: Server, host: string): Promise<number> =>
     new Promise(resolve => {
         server.listen(0, host, () => resolve((server.address() as AddressInfo).port));
     });
@@ -112,7 +123,7 @@
         });
         server.on("connection", socket => sockets.add(socket));
         servers.push(server);
-        const upstreamPort = await listen(server, host);
+        const upstreamPort = await openServer(server, host);
         const settings = createSettings(host, service, upstreamPort, port!);
         const source = new FakeSource();
         const node = new RelayNode(settings, testNames, source, pino({ level: "silent" }));
@@ -122,8 +133,7 @@
     }));
     return {
         members,
-        publish: table =>
-            members.forEach(({ source }) => source.publish(table, members.map(({ record }) => record))),
+        publish: table => members.forEach(({ source }) => source.publish(table, members.map(({ record }) => record))),
         stop: async () => {
             sockets.forEach(socket => socket.destroy());
             servers.forEach(server => server.close());
