Budget repeats by route, and count the calls of a repeat as repeats

Repeats of requests multiply at each level below. A chain of four services in the new test broke the bound as well. Now a repeat is marked on its hop, its calls are debited, and routes with calls use a fifth of the ratio.

--- a/src/decisions/repeatBudget/index.ts
+++ b/src/decisions/repeatBudget/index.ts
@@ -1,4 +1,13 @@
-/** Figures of the allowance for repeats, which hold for all nodes together. */
+/** One node's part of the allowance for repeats of one route. */
+export interface RepeatPart {
+    /** Repeats for each request that this node sends. */
+    readonly ratio: number;
+    /** Repeats beyond the ratio in one window. */
+    readonly slack: number;
+    readonly windowMs: number;
+}
+
+/** Figures of the allowance for repeats, which hold for all nodes and routes of a service together. */
 export interface RepeatAllowance {
     /** Repeats for each request to a service. */
     readonly ratio: number;
@@ -7,59 +16,75 @@
     readonly windowMs: number;
 }
 
-/** Share of the allowance that nodes use; the rest is for nodes with differing lists and for the calls of repeats. */
-const usedShare = 0.5;
+/**
+ * Share of the ratio that routes without calls use. What is left is for nodes with differing lists, and for windows that
+ * begin in the middle of a change.
+ */
+const leafShare = 0.6;
+/** Share of the ratio for routes with calls: the calls of a repeat are repeats themselves, at every level below. */
+const innerShare = 0.2;
+/** Share of the slack that is used; several routes lead to one service. */
+const slackShare = 0.3;
+
+/** Computes one node's part for a route whose requests lead to a number of calls, over all levels below. */
+export const computeRepeatPart = (allowance: RepeatAllowance, nodes: number, calls: number): RepeatPart => ({
+    ratio: allowance.ratio * (calls < 1 ? leafShare : innerShare),
+    slack: allowance.slack * slackShare / (Math.max(1, nodes) * (1 + calls)),
+    windowMs: allowance.windowMs,
+});
 
 /**
- * Holds one node's part of the allowance for repeats to one service, without a counter that nodes share. The ratio is
- * of the requests that this node has sent itself; the slack is divided by the number of nodes.
+ * Holds one node's part of the allowance for repeats of one route, without a counter that nodes share: a ratio of the
+ * requests that this node has sent itself, and a part of the slack.
  */
 export class RepeatBudget {
     private tokens: number;
+    /** Repeats earned lately; bounds how many can be saved up. */
+    private earned = 0;
     private lastMs: number;
 
-    constructor(private readonly allowance: RepeatAllowance, private nodes: number, nowMs: number) {
-        this.tokens = this.computeSlack();
+    constructor(private part: RepeatPart, nowMs: number) {
+        this.tokens = part.slack;
         this.lastMs = nowMs;
     }
 
-    /** Takes the number of nodes that divide the slack. */
-    updateNodes(nodes: number): void {
-        this.nodes = nodes;
+    /** Takes a part that has changed. */
+    updatePart(part: RepeatPart): void {
+        this.part = part;
     }
 
     /** Records the first sending of a request. */
     recordRequest(nowMs: number): void {
         this.expireTokens(nowMs);
-        const most = Math.max(this.computeSlack(), 1) + this.tokensOfWindow;
-        this.tokens = Math.min(most, this.tokens + this.allowance.ratio * usedShare);
-        this.tokensOfWindow += this.allowance.ratio * usedShare;
+        this.earned += this.part.ratio;
+        this.tokens = Math.min(this.tokens + this.part.ratio, this.computeMost());
+    }
+
+    /** Records a request that counts as a repeat, since it is a call of one. */
+    recordDebit(nowMs: number): void {
+        this.expireTokens(nowMs);
+        this.tokens = Math.max(this.tokens - 1, -this.computeMost());
     }
 
     /** Takes one repeat; false when no more than a share of what could be saved up is left. */
     tryTake(nowMs: number, reserve = 0): boolean {
         this.expireTokens(nowMs);
-        const most = Math.max(this.computeSlack(), 1) + this.tokensOfWindow;
-        if (this.tokens < Math.max(1, reserve * most)) {
+        if (this.tokens < Math.max(1, reserve * this.computeMost())) {
             return false;
         }
         this.tokens -= 1;
         return true;
     }
 
-    /** Repeats earned lately; bounds how many can be saved up. */
-    private tokensOfWindow = 0;
-
-    private computeSlack(): number {
-        return this.allowance.slack * usedShare / Math.max(1, this.nodes);
+    private computeMost(): number {
+        return this.part.slack + Math.max(1, this.earned);
     }
 
     /** Lets what was earned long ago lapse, and gives the slack back over a window. */
     private expireTokens(nowMs: number): void {
-        const elapsed = Math.min(1, Math.max(0, nowMs - this.lastMs) / this.allowance.windowMs);
+        const elapsed = Math.min(1, Math.max(0, nowMs - this.lastMs) / this.part.windowMs);
         this.lastMs = nowMs;
-        const slack = this.computeSlack();
-        this.tokensOfWindow *= 1 - elapsed;
-        this.tokens = Math.min(this.tokens + slack * elapsed, Math.max(slack, 1) + this.tokensOfWindow);
+        this.earned *= 1 - elapsed;
+        this.tokens = Math.min(this.tokens + this.part.slack * elapsed, this.computeMost());
     }
 }
--- a/src/decisions/repeatBudget/test.ts
+++ b/src/decisions/repeatBudget/test.ts
@@ -1,15 +1,28 @@
-import { RepeatBudget } from "./index";
+import { computeRepeatPart, type RepeatAllowance, RepeatBudget } from "./index";
 
-const allowance = { ratio: 0.2, slack: 47, windowMs: 10_000 };
+const allowance: RepeatAllowance = { ratio: 0.2, slack: 47, windowMs: 10_000 };
+
+interface Figures {
+    readonly repeats: number;
+    readonly requests: number;
+}
+
+const countMost = (times: readonly number[]): number => {
+    let most = 0;
+    for (let startMs = 0; startMs < 30_000; startMs += 100) {
+        most = Math.max(most, times.filter(atMs => atMs >= startMs && atMs < startMs + 10_000).length);
+    }
+    return most;
+};
 
 /** Plays nodes that repeat as often as they may; returns the most repeats in any window, and the requests in it. */
-const runNodes = (nodes: number, requestsPerSecond: number): { repeats: number; requests: number; } => {
-    const budgets = Array.from({ length: nodes }, () => new RepeatBudget(allowance, nodes, 0));
+const runNodes = (nodes: number, requestsPerSecond: number): Figures => {
+    const part = computeRepeatPart(allowance, nodes, 0);
+    const budgets = Array.from({ length: nodes }, () => new RepeatBudget(part, 0));
     const repeatTimes: number[] = [];
     for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
         budgets.forEach(budget => {
-            const due = nowMs % (1_000 / requestsPerSecond) < 10;
-            if (due) {
+            if (nowMs % (1_000 / requestsPerSecond) < 10) {
                 budget.recordRequest(nowMs);
             }
             while (budget.tryTake(nowMs)) {
@@ -17,11 +30,38 @@
             }
         });
     }
-    let most = 0;
-    for (let startMs = 0; startMs < 30_000; startMs += 100) {
-        most = Math.max(most, repeatTimes.filter(atMs => atMs >= startMs && atMs < startMs + 10_000).length);
+    return { repeats: countMost(repeatTimes), requests: nodes * requestsPerSecond * 10 };
+};
+
+/** Plays a chain in which each request makes one call and everything is repeated as often as it may. */
+const runChain = (levels: number, requestsPerSecond: number): Figures => {
+    const budgets = Array.from(
+        { length: levels },
+        (unused, level) => new RepeatBudget(computeRepeatPart(allowance, 1, levels - 1 - level), 0),
+    );
+    const deepest: number[] = [];
+    const send = (level: number, nowMs: number, isRepeat: boolean): void => {
+        const budget = budgets[level]!;
+        if (isRepeat) {
+            budget.recordDebit(nowMs);
+        }
+        else {
+            budget.recordRequest(nowMs);
+        }
+        const sendings = budget.tryTake(nowMs) ? [isRepeat, true] : [isRepeat];
+        sendings.forEach(repeated => {
+            if (level + 1 < levels) {
+                send(level + 1, nowMs, repeated);
+            }
+            else if (repeated) {
+                deepest.push(nowMs);
+            }
+        });
+    };
+    for (let nowMs = 0; nowMs < 40_000; nowMs += 1_000 / requestsPerSecond) {
+        send(0, nowMs, false);
     }
-    return { repeats: most, requests: nodes * requestsPerSecond * 10 };
+    return { repeats: countMost(deepest), requests: requestsPerSecond * 10 };
 };
 
 describe("RepeatBudget when every request fails", () => {
@@ -35,4 +75,9 @@
         const { repeats } = runNodes(12, 0.1);
         expect(repeats).toBeLessThanOrEqual(allowance.slack + 0.2 * 12);
     });
+
+    it.each([2, 4, 9])("keeps the deepest of %i services within the allowance", levels => {
+        const { repeats, requests } = runChain(levels, 50);
+        expect(repeats).toBeLessThanOrEqual(allowance.ratio * requests + allowance.slack);
+    });
 });
--- a/src/relay/_lib/repeatBudgets.ts
+++ b/src/relay/_lib/repeatBudgets.ts
@@ -1,11 +1,21 @@
-import { type RepeatAllowance, RepeatBudget } from "../../decisions/repeatBudget";
+import { computeRepeatPart, type RepeatAllowance, RepeatBudget } from "../../decisions/repeatBudget";
 
 /** Share of the allowance that calls of upstreams leave for requests of callers, which are far fewer. */
 const nestedReserve = 0.3;
+/** Weight of one reading in the mean number of calls. */
+const callsWeight = 0.02;
+/** Until something is known, requests of a route are taken to lead to some calls. */
+const assumedCalls = 3;
 
-/** Owns this node's part of the allowance for repeats, by called service. */
+interface RouteBudget {
+    readonly budget: RepeatBudget;
+    /** Mean number of calls that a request leads to, over all levels below. */
+    calls: number;
+}
+
+/** Owns this node's part of the allowance for repeats, by route. */
 export class RepeatBudgets {
-    private readonly budgets = new Map<string, RepeatBudget>();
+    private readonly routes = new Map<string, RouteBudget>();
     private nodes = 1;
 
     constructor(private readonly allowance: RepeatAllowance, private readonly readNowMs: () => number) {}
@@ -13,26 +23,43 @@
     /** Takes the number of nodes that divide the allowance. */
     updateNodes(nodes: number): void {
         this.nodes = Math.max(1, nodes);
-        this.budgets.forEach(budget => budget.updateNodes(this.nodes));
+        this.routes.forEach(entry => this.updatePart(entry));
+    }
+
+    /** Records the first sending of a request; the calls of a repeat are repeats themselves. */
+    recordRequest(route: string, isCallOfRepeat: boolean): void {
+        const { budget } = this.open(route);
+        if (isCallOfRepeat) {
+            budget.recordDebit(this.readNowMs());
+            return;
+        }
+        budget.recordRequest(this.readNowMs());
+    }
+
+    /** Records to how many calls a request of a route has led, over all levels below. */
+    recordCalls(route: string, calls: number): void {
+        const entry = this.open(route);
+        entry.calls += callsWeight * (calls - entry.calls);
+        this.updatePart(entry);
     }
 
-    /** Records the first sending of a request to a service. */
-    recordRequest(service: string): void {
-        this.open(service).recordRequest(this.readNowMs());
+    /** Takes one repeat of a route; false when none is left. Nested requests leave some for the others. */
+    tryTake(route: string, nested: boolean): boolean {
+        return this.open(route).budget.tryTake(this.readNowMs(), nested ? nestedReserve : 0);
     }
 
-    /** Takes one repeat to a service; false when none is left. Nested requests leave some for the others. */
-    tryTake(service: string, nested: boolean): boolean {
-        return this.open(service).tryTake(this.readNowMs(), nested ? nestedReserve : 0);
+    private updatePart({ budget, calls }: RouteBudget): void {
+        budget.updatePart(computeRepeatPart(this.allowance, this.nodes, calls));
     }
 
-    private open(service: string): RepeatBudget {
-        const existing = this.budgets.get(service);
+    private open(route: string): RouteBudget {
+        const existing = this.routes.get(route);
         if (existing) {
             return existing;
         }
-        const budget = new RepeatBudget(this.allowance, this.nodes, this.readNowMs());
-        this.budgets.set(service, budget);
-        return budget;
+        const part = computeRepeatPart(this.allowance, this.nodes, assumedCalls);
+        const created: RouteBudget = { budget: new RepeatBudget(part, this.readNowMs()), calls: assumedCalls };
+        this.routes.set(route, created);
+        return created;
     }
 }
--- a/src/relay/activeRequests.ts
+++ b/src/relay/activeRequests.ts
@@ -1,10 +1,16 @@
 /** Requests at the local upstream, and what the calls that it makes for them meet. */
 
+import { type LoadReport } from "./types";
+
 /** One request that the local upstream is running. */
 export interface ActiveRequest {
     /** Answers to its calls so far, and the sum of the congestion that they reported, each 0 to 1. */
     calls: number;
     congestion: number;
+    /** Calls over all levels below. */
+    allCalls: number;
+    /** Whether it has been sent to an upstream before, so that its calls count as repeats. */
+    readonly isRepeat: boolean;
     /** Whether one of its calls came to no answer for lack of room, so that it is probably going to fail. */
     hasRefusedCall: boolean;
 }
@@ -15,8 +21,8 @@
 
     constructor(private readonly callSeparator: string) {}
 
-    add(id: string): ActiveRequest {
-        const request: ActiveRequest = { calls: 0, congestion: 0, hasRefusedCall: false };
+    add(id: string, isRepeat: boolean): ActiveRequest {
+        const request: ActiveRequest = { calls: 0, congestion: 0, allCalls: 0, isRepeat, hasRefusedCall: false };
         this.byId.set(id, request);
         return request;
     }
@@ -35,9 +41,10 @@
 }
 
 /** Records what the answer to a call reported. */
-export const recordCallAnswer = (request: ActiveRequest, congestion: number): void => {
+export const recordCallAnswer = (request: ActiveRequest, report: LoadReport): void => {
     request.calls += 1;
-    request.congestion += congestion;
+    request.allCalls += 1 + report.calls;
+    request.congestion += report.congestion;
 };
 
 /** Computes the congestion that the calls of a request have met, 0 to 1. */
--- a/src/relay/entry/sending.ts
+++ b/src/relay/entry/sending.ts
@@ -15,8 +15,8 @@
     readonly service: string;
     /** The request for which the local upstream makes this call, if it is one. */
     readonly parent: ActiveRequest | undefined;
-    /** All that goes to an upstream but its id. */
-    readonly request: Omit<HopOrder, "upstreamId">;
+    /** All that is the same for each upstream that it is sent to. */
+    readonly request: Omit<HopOrder, "upstreamId" | "isRepeat">;
     readonly startedAtMs: number;
 }
 
@@ -78,7 +78,8 @@
 
     /** Sends the request to the best upstream; false when there is none. */
     start(): boolean {
-        this.parts.budgets.recordRequest(this.order.service);
+        const { route, parent } = this.order;
+        this.parts.budgets.recordRequest(route.name, parent?.isRepeat === true);
         if (!this.sendNext(false)) {
             return false;
         }
@@ -117,11 +118,11 @@
                 elapsedMs: Math.round(readNowMs() - startedAtMs),
             });
         }
-        this.startHop(chosen.id);
+        this.startHop(chosen.id, isRepeat);
         return true;
     }
 
-    private startHop(upstreamId: string): void {
+    private startHop(upstreamId: string, isRepeat: boolean): void {
         const { directory, sendHop, readNowMs } = this.parts;
         const hop: ActiveHop = { upstreamId, sentAtMs: readNowMs(), cancel: () => undefined };
         this.hops.add(hop);
@@ -130,7 +131,8 @@
             openStream: head => this.openStream(hop, head),
             settle: (result, report) => this.settleHop(hop, result, report),
         };
-        hop.cancel = sendHop({ ...this.order.request, upstreamId }, owner);
+        const { request, parent } = this.order;
+        hop.cancel = sendHop({ ...request, upstreamId, isRepeat: isRepeat || parent?.isRepeat === true }, owner);
     }
 
     private openStream(hop: ActiveHop, head: AnswerHead): AnswerSink {
@@ -152,7 +154,7 @@
         if (this.isFinished) {
             return;
         }
-        this.recordResult(hop, result);
+        this.recordResult(hop, result, report?.calls ?? 0);
         if (this.trySendAgain(result) || this.hops.size > 0 && !isSuccess(result)) {
             return;
         }
@@ -186,8 +188,8 @@
     }
 
     private tryRepeat(): boolean {
-        const { service, request } = this.order;
-        return this.parts.budgets.tryTake(service, request.nested) && this.sendNext(true);
+        const { route, request } = this.order;
+        return this.parts.budgets.tryTake(route.name, request.nested) && this.sendNext(true);
     }
 
     private isReplayable(): boolean {
@@ -220,21 +222,23 @@
         const { route, parent } = this.order;
         this.parts.directory.recordReport(upstreamId, report);
         if (parent) {
-            recordCallAnswer(parent, report.congestion);
+            recordCallAnswer(parent, report);
             this.parts.shedding.recordCall(route.name, report.congestion);
             return;
         }
         this.parts.shedding.recordAnswer(route.name, route.rank, report.congestion);
     }
 
-    private recordResult({ upstreamId, sentAtMs }: ActiveHop, result: HopResult): void {
+    private recordResult({ upstreamId, sentAtMs }: ActiveHop, result: HopResult, calls: number): void {
         const isUnreached = result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved";
         (isUnreached ? this.refusing : this.offered).push(upstreamId);
         if (result.kind === "not-run" && unreachableReasons.has(result.reason)) {
             this.parts.directory.recordFailure(upstreamId);
         }
         if (isSuccess(result)) {
-            this.parts.answerTimes.record(this.order.route.name, this.parts.readNowMs() - sentAtMs);
+            const { name } = this.order.route;
+            this.parts.answerTimes.record(name, this.parts.readNowMs() - sentAtMs);
+            this.parts.budgets.recordCalls(name, calls);
         }
         this.mayHaveRun ||= result.kind !== "not-run";
         this.fallback = result.kind === "answered" ? result : this.fallback;
--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -9,7 +9,7 @@
 export type HopRequestFields =
     & Pick<
         HopOrder,
-        "route" | "callerService" | "upstreamId" | "idempotent" | "nested" | "rank" | "targetLatencyMs"
+        "route" | "callerService" | "upstreamId" | "idempotent" | "nested" | "isRepeat" | "rank" | "targetLatencyMs"
     >
     & {
         readonly remainingMs: number;
@@ -29,8 +29,8 @@
     readonly report: LoadReport;
 }
 
-const requestFieldCount = 9;
-const answerFieldCount = 8;
+const requestFieldCount = 10;
+const answerFieldCount = 9;
 const refusedBelowWord = "ran-refused-below";
 const notRunPrefix = "not-run:";
 
@@ -42,6 +42,7 @@
         order.upstreamId,
         order.idempotent ? "i" : "u",
         order.nested ? "n" : "d",
+        order.isRepeat ? "r" : "f",
         order.rank,
         order.targetLatencyMs,
         order.route,
@@ -54,13 +55,14 @@
     if (fields.length !== requestFieldCount) {
         return undefined;
     }
-    const [remaining, callerService, upstreamId, kind, origin, rank, target, route, version] = fields as string[];
+    const [remaining, callerService, upstreamId, kind, origin, turn, rank, target, route, version] = fields as string[];
     return {
         remainingMs: Number(remaining),
         callerService: callerService!,
         upstreamId: upstreamId!,
         idempotent: kind === "i",
         nested: origin === "n",
+        isRepeat: turn === "r",
         rank: Number(rank),
         targetLatencyMs: Number(target),
         route: route!,
@@ -94,6 +96,7 @@
         report.limit,
         report.meanMs.toFixed(1),
         report.leaving ? 1 : 0,
+        report.calls,
         report.version,
     ].join(" ");
 
@@ -103,7 +106,7 @@
     if (fields.length !== answerFieldCount) {
         return undefined;
     }
-    const [word, congestion, inFlight, queued, limit, meanMs, leaving, version] = fields as string[];
+    const [word, congestion, inFlight, queued, limit, meanMs, leaving, calls, version] = fields as string[];
     return {
         outcome: parseOutcome(word!),
         report: {
@@ -113,6 +116,7 @@
             limit: Number(limit),
             meanMs: Number(meanMs),
             leaving: leaving === "1",
+            calls: Number(calls),
             version: Number(version),
         },
     };
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -4,13 +4,13 @@
 import { findHeader, isBodiless } from "../../tasks/_lib/headers";
 import { encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
 import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
-import { ServedHop, type ServedHopParts } from "./servedHop";
+import { type CallFigures, noCalls, ServedHop, type ServedHopParts } from "./servedHop";
 
 /** What the ingress works with. */
 export interface IngressParts extends ServedHopParts {
     readonly maxBodyBytes: () => number;
-    /** Computes what the sender of a request is told, with the congestion that the request's own calls have met. */
-    readonly createReport: (order: HopOrder, below: number) => LoadReport;
+    /** Computes what the sender of a request is told, with what the request's own calls have met. */
+    readonly createReport: (order: HopOrder, below: CallFigures) => LoadReport;
     /** Told which routing version a node at a host has in force. */
     readonly onVersionSeen: (host: string, version: number) => void;
     /** Time by which a request that is read now may be older than it says, in milliseconds. */
@@ -41,7 +41,7 @@
             openStream: head => owner.openStream(head),
             settle: result => {
                 this.inFlight -= 1;
-                owner.settle(result, this.parts.createReport(order, served.computeBelow()));
+                owner.settle(result, this.parts.createReport(order, served.describeBelow()));
             },
         };
         const served = new ServedHop(order, counting, this.parts);
@@ -98,7 +98,7 @@
 
     openStream(head: AnswerHead): AnswerSink {
         const outcome: HopOutcome = { kind: "ran", refusedBelow: false };
-        const report = this.parts.createReport(this.order, 0);
+        const report = this.parts.createReport(this.order, noCalls);
         this.sink.start({ status: head.status, rawHeaders: [...head.rawHeaders, ...createHopHeader(outcome, report)] });
         return this.sink;
     }
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -24,6 +24,17 @@
     readonly activeRequests: ActiveRequests;
 }
 
+/** What the calls of one request have met. */
+export interface CallFigures {
+    /** 0 to 1. */
+    readonly congestion: number;
+    /** Number of calls, over all levels below. */
+    readonly calls: number;
+}
+
+/** Figures of a request without calls. */
+export const noCalls: CallFigures = { congestion: 0, calls: 0 };
+
 /** Less time than this is not worth an attempt, in milliseconds. */
 const minAttemptMs = 5;
 /** Time that the upstream's last word needs to get back, in milliseconds. */
@@ -71,9 +82,10 @@
         this.withdraw = this.parts.slots.apply(this);
     }
 
-    /** Congestion that the calls of the request have met, 0 to 1. */
-    computeBelow(): number {
-        return this.active ? computeCallCongestion(this.active) : 0;
+    /** Describes what the calls of the request have met. */
+    describeBelow(): CallFigures {
+        const { active } = this;
+        return active ? { congestion: computeCallCongestion(active), calls: active.allCalls } : noCalls;
     }
 
     /**
@@ -107,7 +119,7 @@
         }
         const { method, path, body, idempotent } = this.order;
         const rawHeaders = this.createHeaders();
-        this.active = this.parts.activeRequests.add(this.order.requestId);
+        this.active = this.parts.activeRequests.add(this.order.requestId, this.order.isRepeat);
         this.attempt = new Attempt(method, this, true);
         sendAttempt(this.parts.upstream, { method, path, rawHeaders, body, idempotent }, this.attempt);
     }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -15,6 +15,7 @@
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
 import { Ingress } from "./ingress";
+import { type CallFigures } from "./ingress/servedHop";
 import { DecisionLog } from "./log";
 import { RelayMetrics } from "./metrics";
 import { PauseGuard } from "./pauseGuard";
@@ -262,11 +263,12 @@
         return this.peers.send(record?.host ?? "", order, owner);
     }
 
-    private createReport({ targetLatencyMs, nested }: HopOrder, below: number): LoadReport {
+    private createReport({ targetLatencyMs, nested }: HopOrder, below: CallFigures): LoadReport {
         const own = this.slots.computeCongestion(targetLatencyMs, nested);
         return {
             ...this.slots.readFigures(),
-            congestion: Math.max(own, below),
+            congestion: Math.max(own, below.congestion),
+            calls: below.calls,
             leaving: this.stoppingSinceMs !== undefined,
             version: this.routing.version,
         };
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -64,6 +64,8 @@
     readonly idempotent: boolean;
     /** Whether an upstream made the request while it served another one. */
     readonly nested: boolean;
+    /** Whether the request, or one that it is a call of, has been sent to an upstream before. */
+    readonly isRepeat: boolean;
     readonly rank: number;
     readonly targetLatencyMs: number;
     /** Steady time at which nobody waits for the answer any more, in milliseconds. */
@@ -120,6 +122,8 @@
     /** Mean time that a request holds a slot, in milliseconds. */
     readonly meanMs: number;
     readonly leaving: boolean;
+    /** Calls that the request has led to, over all levels below. */
+    readonly calls: number;
     /** Version of the routing table that the node has in force, 0 for none. */
     readonly version: number;
 }
