Tell a reset that arrives with data from the regular end of an answer

A reset connection has no peer any more: that tells. Ruled out: ECONNRESET taken for an end by undici (handled before).

--- a/src/relay/connectionPool/index.ts
+++ b/src/relay/connectionPool/index.ts
@@ -19,6 +19,8 @@
 interface Connection {
     readonly client: Client;
     idleSinceMs: number;
+    /** Handler of the request that is under way. */
+    handler: ReleasingHandler | undefined;
 }
 
 /** Options of a pool. */
@@ -29,11 +31,18 @@
     readonly onActivity?: () => void;
 }
 
+/** What the owner of a socket is told. */
+interface SocketListener {
+    readonly onActivity: (() => void) | undefined;
+    readonly onReset: () => void;
+}
+
 /**
- * Opens a socket for undici. A reset is reported under another code: undici takes ECONNRESET for the regular end of an
- * answer without a length, which would make a truncated answer look whole.
+ * Opens a socket for undici, and finds out resets that undici takes for the regular end of an answer without a length,
+ * so that a truncated answer would look whole. It does so for the code ECONNRESET; and libuv reports a plain end when a
+ * reset arrives together with data. A connection that was reset has no peer any more, one that was closed still has.
  */
-const openSocket = (address: Address, callback: buildConnector.Callback, onActivity?: () => void): void => {
+const openSocket = (address: Address, callback: buildConnector.Callback, listener: SocketListener): void => {
     const socket: Socket = connect({ host: address.host, port: address.port, noDelay: true });
     const timer = setTimeout(() => socket.destroy(new Error("the connection timed out")), connectTimeoutMs);
     const fail = (error: Error): void => {
@@ -47,8 +56,13 @@
         socket.on("error", (error: NodeJS.ErrnoException) => {
             error.code = error.code === "ECONNRESET" ? "POMELOVALVE_RESET" : error.code;
         });
-        if (onActivity) {
-            socket.on("data", onActivity);
+        socket.once("end", () => {
+            if (socket.remoteAddress === undefined) {
+                listener.onReset();
+            }
+        });
+        if (listener.onActivity) {
+            socket.on("data", listener.onActivity);
         }
         callback(undefined as never, socket);
     });
@@ -73,7 +87,8 @@
         const isRepeatable = request.idempotent !== false;
         const connection = this.take(isRepeatable);
         this.busy.add(connection);
-        return connection.client.dispatch(request, new ReleasingHandler(handler, () => this.release(connection)));
+        connection.handler = new ReleasingHandler(handler, () => this.release(connection));
+        return connection.client.dispatch(request, connection.handler);
     }
 
     /**
@@ -113,12 +128,17 @@
             keepAliveTimeout: idleTimeoutMs,
             keepAliveMaxTimeout: idleTimeoutMs,
             connect: (unused: buildConnector.Options, callback: buildConnector.Callback) =>
-                openSocket(this.address, callback, this.options.onActivity),
+                openSocket(this.address, callback, {
+                    onActivity: this.options.onActivity,
+                    onReset: () => connection.handler?.onError(new Error("the connection was reset")),
+                }),
         });
-        return { client, idleSinceMs: 0 };
+        const connection: Connection = { client, idleSinceMs: 0, handler: undefined };
+        return connection;
     }
 
     private release(connection: Connection): void {
+        connection.handler = undefined;
         this.busy.delete(connection);
         if (this.closed) {
             void connection.client.destroy();
@@ -129,8 +149,10 @@
     }
 }
 
-/** Passes all events on, and gives the connection back at the end. */
+/** Passes events on up to the first one that ends the request, and then gives the connection back. */
 class ReleasingHandler implements Dispatcher.DispatchHandlers {
+    private isDone = false;
+
     constructor(private readonly inner: Dispatcher.DispatchHandlers, private readonly release: () => void) {}
 
     onConnect(abort: (error?: Error) => void): void {
@@ -138,20 +160,31 @@
     }
 
     onHeaders(status: number, rawHeaders: Buffer[], resume: () => void, statusText: string): boolean {
-        return this.inner.onHeaders?.(status, rawHeaders, resume, statusText) ?? true;
+        return this.isDone || (this.inner.onHeaders?.(status, rawHeaders, resume, statusText) ?? true);
     }
 
     onData(chunk: Buffer): boolean {
-        return this.inner.onData?.(chunk) ?? true;
+        return this.isDone || (this.inner.onData?.(chunk) ?? true);
     }
 
     onComplete(trailers: string[]): void {
-        this.release();
-        this.inner.onComplete?.(trailers as never);
+        if (this.takeEnd()) {
+            this.inner.onComplete?.(trailers as never);
+        }
     }
 
     onError(error: Error): void {
-        this.release();
-        this.inner.onError?.(error);
+        if (this.takeEnd()) {
+            this.inner.onError?.(error);
+        }
+    }
+
+    private takeEnd(): boolean {
+        const isFirst = !this.isDone;
+        this.isDone = true;
+        if (isFirst) {
+            this.release();
+        }
+        return isFirst;
     }
 }
