--- a/src/relay/connectionPool/test.ts
+++ b/src/relay/connectionPool/test.ts
@@ -38,7 +38,7 @@
     });
 
 const unframedHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
-const answerWhole = (socket: Socket): void => void socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+const sendWhole = (socket: Socket): void => void socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 
 afterEach(() => {
     pool.abort();
@@ -68,14 +68,14 @@
 
 describe("ConnectionPool", () => {
     it("uses a connection again", async () => {
-        await startServer(answerWhole);
+        await startServer(sendWhole);
         await sendRequest();
         await sendRequest();
         expect(connections).toBe(1);
     });
 
     it("opens a new connection for what must not run twice when the idle one may be about to be closed", async () => {
-        await startServer(answerWhole);
+        await startServer(sendWhole);
         await sendRequest();
         nowMs = 1_500;
         await sendRequest(false);
@@ -85,7 +85,7 @@
     });
 
     it("does not trust connections with what must not run twice after a foreign answer", async () => {
-        await startServer(answerWhole);
+        await startServer(sendWhole);
         await sendRequest();
         pool.recordForeignAnswer();
         await sendRequest();
@@ -95,7 +95,7 @@
     });
 
     it("says that nothing was sent when no connection comes about", async () => {
-        await startServer(answerWhole);
+        await startServer(sendWhole);
         await new Promise(resolve => server.close(resolve));
         expect(await sendRequest()).toMatchObject({ kind: "unsent", cause: "connection" });
     });
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -11,6 +11,7 @@
 import { AnswerTimes } from "./_lib/answerTimes";
 import { RepeatBudgets } from "./_lib/repeatBudgets";
 import { ActiveRequests } from "./activeRequests";
+import { createAdminHandler } from "./adminHandler";
 import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
@@ -34,9 +35,6 @@
 /** Margin for closing before the process is killed, in milliseconds. */
 const stopMarginMs = 400;
 const stopPollMs = 20;
-const okStatus = 200;
-const notFoundStatus = 404;
-const unavailableStatus = 503;
 
 /** The process in the slot beside an upstream. */
 export class RelayNode {
@@ -162,6 +160,11 @@
             readView: () => ({ table: this.routing.table, upstreams: this.directory.list() }),
             receiveSuspect: (fingerprint, node) => this.poison.receive(fingerprint, node),
         });
+        const onAdmin = createAdminHandler({
+            readinessPath: this.settings.readinessPath,
+            isReady: () => this.stoppingSinceMs === undefined && this.routing.table !== undefined,
+            registry: this.metrics.registry,
+        });
         this.servers = await Promise.all([
             openListener(entry, (request, response) => this.handleEntry(request, response)),
             openListener(peers, (request, response) =>
@@ -169,7 +172,7 @@
                     new HttpCallRequest(request, response),
                     request.socket.remoteAddress ?? "",
                 )),
-            openListener(admin, (request, response) => this.handleAdmin(request, response)),
+            openListener(admin, onAdmin),
             openListener(this.controlAddress, control),
         ]);
         this.peers.start();
@@ -239,21 +242,6 @@
         this.entry.handle(new HttpCallRequest(request, response));
     }
 
-    private handleAdmin(request: IncomingMessage, response: ServerResponse): void {
-        if (request.url === this.settings.readinessPath) {
-            const isReady = this.stoppingSinceMs === undefined && this.routing.table !== undefined;
-            response.writeHead(isReady ? okStatus : unavailableStatus).end();
-            return;
-        }
-        if (request.url !== "/metrics") {
-            response.writeHead(notFoundStatus).end();
-            return;
-        }
-        void this.metrics.registry.metrics().then(text => {
-            response.writeHead(okStatus, { "Content-Type": this.metrics.registry.contentType }).end(text);
-        });
-    }
-
     private sendHop(...[order, owner]: Parameters<SendHop>): ReturnType<SendHop> {
         const record = this.directory.find(order.upstreamId);
         const { host, port } = this.settings.upstream;
