--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,8 +7,8 @@
 /** Version of the program. */
 export const { version } = createRequire(import.meta.url)("../package.json");
 
-/** Bundles one entry file into one CommonJS file. */
-export const bundle = (entry, outfile) =>
+/** Bundles one entry file into one CommonJS file; options go to esbuild. */
+export const bundle = (entry, outfile, options = {}) =>
     build({
         entryPoints: [`${root}${entry}`],
         outfile,
@@ -20,4 +20,5 @@
         legalComments: "none",
         logLevel: "warning",
         define: { "process.env.POMELOVALVE_VERSION": JSON.stringify(version) },
+        ...options,
     });
--- /dev/null
+++ b/scripts/undiciSubset.mjs
@@ -0,0 +1,9 @@
+// The dispatchers that the relay uses; the package's index would also load fetch, WebSocket and caches.
+import request from "../node_modules/undici/lib/api/api-request.js";
+import Client from "../node_modules/undici/lib/dispatcher/client.js";
+import Dispatcher from "../node_modules/undici/lib/dispatcher/dispatcher.js";
+import Pool from "../node_modules/undici/lib/dispatcher/pool.js";
+
+Dispatcher.prototype.request = request;
+
+export { Client, Pool };
--- /dev/null
+++ b/src/relay/adminHandler.ts
@@ -0,0 +1,31 @@
+/** Answers the platform's question for readiness and serves the metrics. */
+import { type RequestListener } from "node:http";
+import { type Registry } from "prom-client";
+
+/** What the handler shows. */
+export interface AdminParts {
+    readonly readinessPath: string;
+    readonly isReady: () => boolean;
+    readonly registry: Registry;
+}
+
+const metricsPath = "/metrics";
+const okStatus = 200;
+const notFoundStatus = 404;
+const unavailableStatus = 503;
+
+/** Creates the handler of the admin listener. */
+export const createAdminHandler =
+    ({ readinessPath, isReady, registry }: AdminParts): RequestListener => (request, response) => {
+        if (request.url === readinessPath) {
+            response.writeHead(isReady() ? okStatus : unavailableStatus).end();
+            return;
+        }
+        if (request.url !== metricsPath) {
+            response.writeHead(notFoundStatus).end();
+            return;
+        }
+        void registry.metrics().then(text => {
+            response.writeHead(okStatus, { "Content-Type": registry.contentType }).end(text);
+        });
+    };
--- a/src/relay/control/index.ts
+++ b/src/relay/control/index.ts
@@ -3,7 +3,7 @@
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { type RequestListener } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { type Address } from "../../types";
 
