Carry requests between nodes over shared connections

Half of a node's work per request was an HTTP client and server for the hop between nodes. Requests now share two connections to a node, as MessagePack frames; those with streamed bodies stay on HTTP. Cancelling no longer costs a connection. Silence is found by a ping on the connection itself.

--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -1,8 +1,7 @@
-/** The header by which nodes tell each other about a request and its answer: fields separated by spaces. */
-import { findHeader } from "../../tasks/_lib/headers";
-import { type HopOrder, type LoadReport, type NotRunReason } from "../types";
+/** What nodes tell each other about a request and its answer: fields separated by spaces. */
+import { type HopOrder, type HopResult, type LoadReport, type NotRunReason } from "../types";
 
-/** Name of the header. */
+/** Name of the header that carries them where the hop is an HTTP request. */
 export const hopHeader = "pomelovalve-hop";
 
 /** What one node tells another of a request. */
@@ -50,8 +49,8 @@
     ].join(" ");
 
 /** Parses what came with a request; undefined when another node did not send it. */
-export const parseHopRequest = (rawHeaders: readonly string[]): HopRequestFields | undefined => {
-    const fields = findHeader(rawHeaders, hopHeader)?.split(" ") ?? [];
+export const parseHopRequest = (text: string | undefined): HopRequestFields | undefined => {
+    const fields = text?.split(" ") ?? [];
     if (fields.length !== requestFieldCount) {
         return undefined;
     }
@@ -86,6 +85,14 @@
         : { kind: "may-have-run" };
 };
 
+/** Derives the outcome that another node is told from the result of a request. */
+export const deriveOutcome = (result: HopResult): HopOutcome => {
+    if (result.kind === "answered") {
+        return { kind: "ran", refusedBelow: result.refusedBelow };
+    }
+    return result.kind === "not-run" ? result : { kind: "may-have-run" };
+};
+
 /** Encodes what goes with an answer. */
 export const encodeHopAnswer = ({ outcome, report }: HopAnswerFields): string =>
     [
@@ -101,8 +108,8 @@
     ].join(" ");
 
 /** Parses what came with an answer; undefined when no node of the system wrote it. */
-export const parseHopAnswer = (rawHeaders: readonly string[]): HopAnswerFields | undefined => {
-    const fields = findHeader(rawHeaders, hopHeader)?.split(" ") ?? [];
+export const parseHopAnswer = (text: string | undefined): HopAnswerFields | undefined => {
+    const fields = text?.split(" ") ?? [];
     if (fields.length !== answerFieldCount) {
         return undefined;
     }
--- a/src/relay/hop/remoteHop.ts
+++ b/src/relay/hop/remoteHop.ts
@@ -1,7 +1,7 @@
-/** A request on its way to the node of another instance. */
+/** A request with a streamed body on its way to the node of another instance, over HTTP. */
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
-import { noHeaders, stripHeaders } from "../../tasks/_lib/headers";
+import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
 import { AnswerBuffer } from "../_lib/answerBuffer";
 import { type HopOrder, type HopOwner, type HopResult } from "../types";
 import { encodeHopRequest, type HopAnswerFields, hopHeader, parseHopAnswer } from "./headers";
@@ -15,7 +15,7 @@
 }
 
 /** Time by which the other node has to be done earlier, in milliseconds: the way back of its last word. */
-const hopMarginMs = 3;
+export const hopMarginMs = 3;
 
 /** Owns one request at one other node. */
 export class RemoteHop implements AttemptOwner {
@@ -48,7 +48,7 @@
     }
 
     takeAnswer(head: AnswerHead): AnswerSink | undefined {
-        this.answer = parseHopAnswer(head.rawHeaders);
+        this.answer = parseHopAnswer(findHeader(head.rawHeaders, hopHeader));
         this.head = { status: head.status, rawHeaders: stripHeaders(head.rawHeaders, noHeaders) };
         if (this.answer?.outcome.kind !== "ran") {
             return undefined;
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -2,7 +2,7 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
 import { findHeader, isBodiless } from "../../tasks/_lib/headers";
-import { encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
+import { deriveOutcome, encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
 import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
 import { type CallFigures, noCalls, ServedHop, type ServedHopParts } from "./servedHop";
 
@@ -53,16 +53,20 @@
         return () => served.cancel();
     }
 
-    /** Handles a request of the node at a host. */
+    /** Computes the deadline of a request of another node, which goes on waiting for a number of milliseconds. */
+    computeDeadline(remainingMs: number): number {
+        return this.parts.readNowMs() + remainingMs - this.parts.readStaleMs();
+    }
+
+    /** Handles a request with a streamed body of the node at a host. */
     handle(request: CallRequest, peerHost: string): void {
-        const fields = parseHopRequest(request.rawHeaders);
+        const fields = parseHopRequest(findHeader(request.rawHeaders, hopHeader));
         if (!fields) {
             sendWhole(request.sink, badRequestStatus, [], Buffer.alloc(0));
             return;
         }
         this.parts.onVersionSeen(peerHost, fields.version);
-        const staleMs = this.parts.readStaleMs();
-        const deadlineAtMs = this.parts.readNowMs() + fields.remainingMs - staleMs;
+        const deadlineAtMs = this.computeDeadline(fields.remainingMs);
         let isGone = false;
         let cancel = (): void => undefined;
         request.onEarlyClose(() => {
@@ -104,8 +108,8 @@
     }
 
     settle(result: HopResult, report: LoadReport): void {
+        const outcome = deriveOutcome(result);
         if (result.kind !== "answered") {
-            const outcome: HopOutcome = result.kind === "not-run" ? result : { kind: "may-have-run" };
             const status = result.kind === "not-run" ? unavailableStatus : badGatewayStatus;
             sendWhole(this.sink, status, createHopHeader(outcome, report), Buffer.alloc(0));
             return;
@@ -113,7 +117,6 @@
         if (!result.body) {
             return;
         }
-        const outcome: HopOutcome = { kind: "ran", refusedBelow: result.refusedBelow };
         const rawHeaders = [...result.head.rawHeaders, ...createHopHeader(outcome, report)];
         sendAnswer(this.sink, this.order.method, { status: result.head.status, rawHeaders }, result.body);
     }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -1,5 +1,6 @@
 /** One relay node as a process: its tasks, wired to each other and to their sockets. */
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type Server as HttpServer, type ServerResponse } from "node:http";
+import { type Server } from "node:net";
 import { type Logger } from "pino";
 import { createRandom } from "../_lib/createRandom";
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
@@ -9,6 +10,7 @@
 import { TimerWheel } from "../tasks/_lib/timerWheel";
 import { type Address } from "../types";
 import { AnswerTimes } from "./_lib/answerTimes";
+import { deriveControlAddress, deriveLinkAddress } from "./_lib/deriveAddresses";
 import { RepeatBudgets } from "./_lib/repeatBudgets";
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
@@ -16,7 +18,8 @@
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
 import { Ingress } from "./ingress";
-import { type CallFigures } from "./ingress/servedHop";
+import { type CallFigures, noCalls } from "./ingress/servedHop";
+import { openLinkListener } from "./link/linkServer";
 import { DecisionLog } from "./log";
 import { RelayMetrics } from "./metrics";
 import { PauseGuard } from "./pauseGuard";
@@ -54,7 +57,8 @@
     private readonly viewSync: ViewSync;
     private readonly pauseGuard: PauseGuard;
     private upstream: ConnectionPool;
-    private servers: readonly Server[] = [];
+    private servers: readonly HttpServer[] = [];
+    private linkServer: Server | undefined;
     private hasRecords = false;
     private stoppingSinceMs: number | undefined;
     private lastEntryMs = 0;
@@ -93,7 +97,7 @@
         });
         this.viewSync = new ViewSync({
             readVersion: () => this.routing.version,
-            controlPort: this.controlAddress.port,
+            controlPort: deriveControlAddress(this.settings.peers).port,
             onView: (view, host) => {
                 if (view.table) {
                     this.routing.adopt(view.table, host);
@@ -110,6 +114,7 @@
             clock,
             wheel: this.wheel,
             port: settings.peers.port,
+            linkPort: deriveLinkAddress(this.settings.peers).port,
             readVersion,
             onVersionSeen,
             onSilent: (host, ids) => {
@@ -173,8 +178,14 @@
                     request.socket.remoteAddress ?? "",
                 )),
             openListener(admin, onAdmin),
-            openListener(this.controlAddress, control),
+            openListener(deriveControlAddress(peers), control),
         ]);
+        this.linkServer = await openLinkListener(deriveLinkAddress(peers), {
+            serve: (order, owner) => this.ingress.serve(order, owner),
+            computeDeadline: remainingMs => this.ingress.computeDeadline(remainingMs),
+            onVersionSeen: (host, version) => this.viewSync.observe(host, version),
+            createStreamReport: order => this.createReport(order, noCalls),
+        });
         this.peers.start();
         this.pauseGuard.start();
         this.source.start({
@@ -216,6 +227,7 @@
         }
         this.log.writeAlways("node-stopping", { pending: this.entry.pending, atUpstream: this.ingress.pending });
         this.source.stop();
+        this.linkServer?.close();
         await Promise.all(this.servers.map(closeListener));
         this.peers.stop();
         this.pauseGuard.stop();
@@ -223,11 +235,6 @@
         this.wheel.stop();
     }
 
-    private get controlAddress(): Address {
-        const { host, port } = this.settings.peers;
-        return { host, port: port + 1 };
-    }
-
     private canClose(startMs: number): boolean {
         const nowMs = this.clock.readMonotonicMs();
         if (nowMs - startMs > this.settings.stopGraceMs - stopMarginMs) {
@@ -280,7 +287,7 @@
     private listControlAddresses(service: string): readonly Address[] {
         return this.directory.list()
             .filter(record => record.service === service && record.host !== this.settings.host)
-            .map(({ host }) => ({ host, port: this.controlAddress.port }));
+            .map(({ host }) => ({ host, port: deriveControlAddress(this.settings.peers).port }));
     }
 
     private reportAdoption(table: RoutingTable, from: string): void {
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -1,18 +1,23 @@
 /** Requests under way to the nodes of other instances, and the watch for nodes that have fallen silent. */
-import { Attempt } from "../../tasks/_lib/attempt";
 import { type Clock } from "../../tasks/_lib/clock";
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
 import { type Address } from "../../types";
 import { ConnectionPool } from "../connectionPool";
-import { RemoteHop } from "../hop/remoteHop";
+import { encodeHopRequest } from "../hop/headers";
+import { hopMarginMs, RemoteHop } from "../hop/remoteHop";
+import { LinkClient } from "../link/linkClient";
 import { type HopOrder, type HopOwner } from "../types";
 
+/** Connections to one node over which requests are spread, so that a lost packet holds up only some of them. */
+const linksPerPeer = 2;
+
 /** What the peers task works with. */
 export interface PeersParts {
     readonly clock: Clock;
     readonly wheel: TimerWheel;
-    /** Port at which all nodes take requests of others. */
+    /** Ports at which all nodes take requests of others: with streamed bodies over HTTP, all others over links. */
     readonly port: number;
+    readonly linkPort: number;
     readonly readVersion: () => number;
     /** Told which routing version a node at a host has in force. */
     readonly onVersionSeen: (host: string, version: number) => void;
@@ -29,14 +34,18 @@
 /** Pools without requests are dropped after this time, in milliseconds. */
 const unusedPoolMs = 30_000;
 
+type CancelHop = (cause: "timeout" | "cancelled" | "connection") => void;
+
 interface Active {
-    readonly hop: RemoteHop;
+    cancel: CancelHop;
     readonly order: HopOrder;
     readonly startedAtMs: number;
 }
 
 interface Peer {
     readonly pool: ConnectionPool;
+    /** Connections that take requests; one that has fallen silent takes no more. */
+    readonly links: Set<LinkClient>;
     readonly active: Set<Active>;
     lastActivityMs: number;
     isProbing: boolean;
@@ -55,16 +64,15 @@
 
     stop(): void {
         this.stopWatch?.();
-        this.peers.forEach(({ pool }) => pool.abort());
+        this.peers.forEach(({ pool, links }) => {
+            pool.abort();
+            links.forEach(link => link.abort());
+        });
         this.peers.clear();
     }
 
     /** Sends a request to the node at a host; returns what gives it up. */
-    send(
-        host: string,
-        order: HopOrder,
-        owner: HopOwner,
-    ): (cause: "timeout" | "cancelled" | "connection") => void {
+    send(host: string, order: HopOrder, owner: HopOwner): CancelHop {
         const peer = this.open(host);
         const counting: HopOwner = {
             openStream: head => owner.openStream(head),
@@ -76,17 +84,49 @@
                 owner.settle(result, report);
             },
         };
-        const hop = new RemoteHop(order, counting, {
+        const startedAtMs = this.parts.clock.readMonotonicMs();
+        const active: Active = { cancel: () => undefined, order, startedAtMs };
+        peer.active.add(active);
+        const isWhole = order.body === undefined || Buffer.isBuffer(order.body);
+        active.cancel = isWhole
+            ? this.chooseLink(host, peer).send(order, counting)
+            : this.sendOverHttp(peer, order, counting);
+        return cause => active.cancel(cause);
+    }
+
+    private sendOverHttp(peer: Peer, order: HopOrder, owner: HopOwner): CancelHop {
+        const hop = new RemoteHop(order, owner, {
             pool: peer.pool,
             readNowMs: this.parts.clock.readMonotonicMs,
             readVersion: this.parts.readVersion,
         });
-        const active: Active = { hop, order, startedAtMs: this.parts.clock.readMonotonicMs() };
-        peer.active.add(active);
         hop.start();
         return cause => hop.cancel(cause);
     }
 
+    /** Returns the link with the fewest requests; opens one while there are fewer than there may be. */
+    private chooseLink(host: string, peer: Peer): LinkClient {
+        const idlest = [...peer.links].sort((first, second) => first.pending - second.pending)[0];
+        if (idlest && (idlest.pending === 0 || peer.links.size >= linksPerPeer)) {
+            return idlest;
+        }
+        const link: LinkClient = new LinkClient({
+            address: { host, port: this.parts.linkPort },
+            encodeOrder: order =>
+                encodeHopRequest({
+                    ...order,
+                    remainingMs: order.deadlineAtMs - this.parts.clock.readMonotonicMs() - hopMarginMs,
+                    version: this.parts.readVersion(),
+                }),
+            onActivity: () => {
+                peer.lastActivityMs = this.parts.clock.readMonotonicMs();
+            },
+            onClosed: () => peer.links.delete(link),
+        });
+        peer.links.add(link);
+        return link;
+    }
+
     private open(host: string): Peer {
         const existing = this.peers.get(host);
         if (existing) {
@@ -98,7 +138,13 @@
             peer.lastActivityMs = readNowMs();
         };
         const pool = new ConnectionPool(address, { readNowMs, onActivity });
-        const peer: Peer = { pool, active: new Set(), lastActivityMs: readNowMs(), isProbing: false };
+        const peer: Peer = {
+            pool,
+            links: new Set(),
+            active: new Set(),
+            lastActivityMs: readNowMs(),
+            isProbing: false,
+        };
         this.peers.set(host, peer);
         return peer;
     }
@@ -108,6 +154,7 @@
         this.peers.forEach((peer, host) => {
             if (peer.active.size === 0 && nowMs - peer.lastActivityMs > unusedPoolMs) {
                 peer.pool.close();
+                peer.links.forEach(link => link.abort());
                 this.peers.delete(host);
                 return;
             }
@@ -124,32 +171,27 @@
         return [...peer.active].some(({ startedAtMs }) => nowMs - startedAtMs > silenceMs);
     }
 
-    /** Asks a silent node for any answer on a connection of its own or an idle one. */
+    /** Asks a silent node for any answer. */
     private queryLife(host: string, peer: Peer): void {
         peer.isProbing = true;
-        const attempt = new Attempt("GET", {
-            takeAnswer: () => undefined,
-            finish: result => {
-                this.parts.wheel.remove(timeout);
-                peer.isProbing = false;
-                if (result.kind === "answered") {
-                    peer.lastActivityMs = this.parts.clock.readMonotonicMs();
-                    return;
-                }
+        const askedAtMs = this.parts.clock.readMonotonicMs();
+        peer.links.forEach(link => link.queryLife());
+        this.parts.wheel.add(probeTimeoutMs, () => {
+            peer.isProbing = false;
+            if (peer.lastActivityMs < askedAtMs) {
                 this.releaseStuck(host, peer);
-            },
+            }
         });
-        const timeout = this.parts.wheel.add(probeTimeoutMs, () => attempt.abort("timeout"));
-        peer.pool.dispatch({ method: "GET", path: "/", idempotent: false }, attempt);
     }
 
     /**
      * Frees the requests at a silent node that may be repeated. The others wait on: the node may have passed them on, and
-     * its answer may still come.
+     * its answer may still come. New requests get new connections, which shows at once whether the node is back.
      */
     private releaseStuck(host: string, peer: Peer): void {
         const stuck = [...peer.active].filter(({ startedAtMs }) => startedAtMs < peer.lastActivityMs + silenceMs * 2);
+        peer.links.clear();
         this.parts.onSilent(host, [...new Set([...peer.active].map(({ order }) => order.upstreamId))]);
-        stuck.filter(({ order }) => order.idempotent).forEach(({ hop }) => hop.cancel("connection"));
+        stuck.filter(({ order }) => order.idempotent).forEach(({ cancel }) => cancel("connection"));
     }
 }
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -80,8 +80,8 @@
     response.end(body);
 };
 
-/** Entry, peers, control and admin. */
-const portsPerNode = 4;
+/** Entry, peers, control, links and admin. */
+const portsPerNode = 5;
 
 const openServer = (server: Server, host: string): Promise<number> =>
     new Promise(resolve => {
@@ -95,7 +95,7 @@
     failureDomain: "pvl-a",
     entry: { host, port },
     peers: { host, port: port + 1 },
-    admin: { host, port: port + 3 },
+    admin: { host, port: port + 4 },
     upstream: { host, port: upstreamPort },
     platform: { host, port: 1 },
     readinessPath: "/ready",
