Rank goes down the call tree; few direct requests at a deep service go first; explain

A nested request now carries the rank of the caller's request, the queue orders by it, congestion is told by the place that a request would get, and requests of callers that are few go first and may be repeated. The decision on due times has a test of that load.

--- a/src/commands/createProgram.ts
+++ b/src/commands/createProgram.ts
@@ -4,6 +4,7 @@
 import { listNodes, type NodeAddress, parseAddress } from "./_lib/queryNodes";
 import { createDone, createUsageError } from "./_lib/results";
 import { runAudit } from "./runAudit";
+import { runExplain } from "./runExplain";
 import { runNode } from "./runNode";
 import {
     checkPolicyFile,
@@ -175,6 +176,10 @@
                     : createUsageError(`unknown action "${action}"; known are check, schema`),
             );
         });
+    program
+        .command("explain <request> [...files]", "Tell a request's story from the logs of all nodes")
+        .example("pomelovalve explain 9c41d07be2a35f68 node-1.log node-2.log   (or from standard input)")
+        .action((request: string, files: readonly string[]) => report(runExplain(String(request), files)));
     program
         .command("version", "Show the version of the program")
         .example("pomelovalve version")
--- a/src/commands/test.ts
+++ b/src/commands/test.ts
@@ -32,6 +32,29 @@
 
     const note = ["--author", "aida", "--reason", "because", "--time", "2026-01-01T00:00:00.000Z"];
 
+    it("tells a request's story from the logs of several nodes, in the order of time", async () => {
+        const first = writeFile(
+            "first.log",
+            [
+                "level=info time=2026-01-01T00:00:00.300Z node=a request=r1 reason=overloaded event=request-refused",
+                "level=info time=2026-01-01T00:00:00.100Z node=a request=r2 event=request-refused",
+                "level=info time=2026-01-01T00:00:00.000Z node=a event=node-started",
+            ].join("\n"),
+        );
+        const second = writeFile(
+            "second.log",
+            "  1.2 b level=info time=2026-01-01T00:00:00.200Z node=b request=r1.c1 reason=full event=hop-failed\n",
+        );
+        const told = await runCommand("explain", "r1", first, second);
+        expect(told.output.split("\n").map(line => /request=(\S+)/u.exec(line)?.[1])).toEqual([
+            "r1.c1",
+            "r1",
+            undefined,
+        ]);
+        expect((await runCommand("explain", "r9", first)).code).toBe(2);
+        expect((await runCommand("explain", "r9", `${folder}/none.log`)).errors).toContain("can't be read");
+    });
+
     it("creates, patches, lists, shows, compacts and checks a policy log", async () => {
         const policyFile = writeFile("policy.json", createPolicy());
         const patchFile = writeFile("patch.json", [{ op: "replace", path: "/retryLimit", value: 1 }]);
--- /dev/null
+++ b/src/decisions/computeSlotDue/test.ts
@@ -0,0 +1,27 @@
+import { computeSlotDue } from "./index";
+
+const targetLatencyMs = 300;
+
+describe("computeSlotDue at a deep service that everything depends on", () => {
+    it("puts the calls for important requests before those for less important ones", () => {
+        const important = computeSlotDue({ nested: true, rank: 0, targetLatencyMs }, 0.01);
+        const other = computeSlotDue({ nested: true, rank: 2, targetLatencyMs }, 0.01);
+        expect(important).toBe(150);
+        expect(other).toBe(750);
+    });
+
+    it("puts the few requests of callers first", () => {
+        const direct = computeSlotDue({ nested: false, rank: 2, targetLatencyMs: 500 }, 0.01);
+        expect(direct).toBeLessThan(computeSlotDue({ nested: true, rank: 0, targetLatencyMs }, 0.01));
+    });
+});
+
+describe("computeSlotDue at a service that callers use themselves", () => {
+    it("puts calls first, then requests of callers by rank", () => {
+        const nested = computeSlotDue({ nested: true, rank: 0, targetLatencyMs: 1_200 }, 0.8);
+        const booking = computeSlotDue({ nested: false, rank: 0, targetLatencyMs: 1_500 }, 0.8);
+        const lookup = computeSlotDue({ nested: false, rank: 2, targetLatencyMs: 1_200 }, 0.8);
+        expect(nested).toBeLessThan(booking);
+        expect(booking).toBeLessThan(lookup);
+    });
+});
--- a/src/decisions/repeatBudget/index.ts
+++ b/src/decisions/repeatBudget/index.ts
@@ -26,12 +26,33 @@
 /** Share of the slack that is used; several routes lead to one service. */
 const slackShare = 0.3;
 
-/** Computes one node's part for a route whose requests lead to a number of calls, over all levels below. */
-export const computeRepeatPart = (allowance: RepeatAllowance, nodes: number, calls: number): RepeatPart => ({
-    ratio: allowance.ratio * (calls < 1 ? leafShare : innerShare),
-    slack: allowance.slack * slackShare / (Math.max(1, nodes) * (1 + calls)),
-    windowMs: allowance.windowMs,
-});
+/** Part of a service's requests that the repeats of callers' requests may come to, where most requests are nested. */
+const directPart = 0.02;
+/** A route never repeats more often than each request once. */
+const largestRatio = 1;
+
+/** What is known of a route's requests. */
+export interface RouteFigures {
+    /** Calls that a request leads to, over all levels below. */
+    readonly calls: number;
+    /** Share of their service's work that requests of callers make, 0 to 1; 1 for nested requests. */
+    readonly directShare: number;
+}
+
+/** Computes one node's part for a route. */
+export const computeRepeatPart = (
+    allowance: RepeatAllowance,
+    nodes: number,
+    { calls, directShare }: RouteFigures,
+): RepeatPart => {
+    const ratio = allowance.ratio * (calls < 1 ? leafShare : innerShare);
+    const few = calls < 1 ? Math.min(largestRatio, directPart / Math.max(directPart, directShare)) : 0;
+    return {
+        ratio: Math.max(ratio, few),
+        slack: allowance.slack * slackShare / (Math.max(1, nodes) * (1 + calls)),
+        windowMs: allowance.windowMs,
+    };
+};
 
 /**
  * Holds one node's part of the allowance for repeats of one route, without a counter that nodes share: a ratio of the
--- a/src/decisions/repeatBudget/test.ts
+++ b/src/decisions/repeatBudget/test.ts
@@ -17,7 +17,7 @@
 
 /** Plays nodes that repeat as often as they may; returns the most repeats in any window, and the requests in it. */
 const runNodes = (nodes: number, requestsPerSecond: number): Figures => {
-    const part = computeRepeatPart(allowance, nodes, 0);
+    const part = computeRepeatPart(allowance, nodes, { calls: 0, directShare: 1 });
     const budgets = Array.from({ length: nodes }, () => new RepeatBudget(part, 0));
     const repeatTimes: number[] = [];
     for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
@@ -37,7 +37,8 @@
 const runChain = (levels: number, requestsPerSecond: number): Figures => {
     const budgets = Array.from(
         { length: levels },
-        (unused, level) => new RepeatBudget(computeRepeatPart(allowance, 1, levels - 1 - level), 0),
+        (unused, level) =>
+            new RepeatBudget(computeRepeatPart(allowance, 1, { calls: levels - 1 - level, directShare: 1 }), 0),
     );
     const deepest: number[] = [];
     const send = (level: number, nowMs: number, isRepeat: boolean): void => {
@@ -76,6 +77,12 @@
         expect(repeats).toBeLessThanOrEqual(allowance.slack + 0.2 * 12);
     });
 
+    it("lets the few requests of callers at a deep service be repeated each", () => {
+        expect(computeRepeatPart(allowance, 12, { calls: 0, directShare: 0.02 }).ratio).toBe(1);
+        expect(computeRepeatPart(allowance, 12, { calls: 0, directShare: 0.5 }).ratio).toBeCloseTo(0.12);
+        expect(computeRepeatPart(allowance, 12, { calls: 4, directShare: 0.02 }).ratio).toBeCloseTo(0.04);
+    });
+
     it.each([2, 4, 9])("keeps the deepest of %i services within the allowance", levels => {
         const { repeats, requests } = runChain(levels, 50);
         expect(repeats).toBeLessThanOrEqual(allowance.ratio * requests + allowance.slack);
--- a/src/decisions/updateEntryShare/index.ts
+++ b/src/decisions/updateEntryShare/index.ts
@@ -6,7 +6,7 @@
 }
 
 /** Share of the way to zero that a window of full congestion takes. */
-const decrease = 0.06;
+const decrease = 0.1;
 /** Growth of the share in a window without congestion. */
 const increase = 0.012;
 /** No route is shut out: what is let in shows when there is room again. */
--- a/src/relay/_lib/repeatBudgets.ts
+++ b/src/relay/_lib/repeatBudgets.ts
@@ -1,4 +1,5 @@
 import { computeRepeatPart, type RepeatAllowance, RepeatBudget } from "../../decisions/repeatBudget";
+import { type LoadReport } from "../types";
 
 /** Share of the allowance that calls of upstreams leave for requests of callers, which are far fewer. */
 const nestedReserve = 0.3;
@@ -11,6 +12,8 @@
     readonly budget: RepeatBudget;
     /** Mean number of calls that a request leads to, over all levels below. */
     calls: number;
+    /** Share of their service's work that requests of callers make, 0 to 1. */
+    directShare: number;
 }
 
 /** Owns this node's part of the allowance for repeats, by route. */
@@ -36,10 +39,11 @@
         budget.recordRequest(this.readNowMs());
     }
 
-    /** Records to how many calls a request of a route has led, over all levels below. */
-    recordCalls(route: string, calls: number): void {
+    /** Records what an answer to a request of a route told of its calls and its service. */
+    recordAnswer(route: string, nested: boolean, report: LoadReport): void {
         const entry = this.open(route);
-        entry.calls += callsWeight * (calls - entry.calls);
+        entry.calls += callsWeight * (report.calls - entry.calls);
+        entry.directShare = nested ? 1 : report.directShare;
         this.updatePart(entry);
     }
 
@@ -48,8 +52,8 @@
         return this.open(route).budget.tryTake(this.readNowMs(), nested ? nestedReserve : 0);
     }
 
-    private updatePart({ budget, calls }: RouteBudget): void {
-        budget.updatePart(computeRepeatPart(this.allowance, this.nodes, calls));
+    private updatePart({ budget, ...figures }: RouteBudget): void {
+        budget.updatePart(computeRepeatPart(this.allowance, this.nodes, figures));
     }
 
     private open(route: string): RouteBudget {
@@ -57,8 +61,9 @@
         if (existing) {
             return existing;
         }
-        const part = computeRepeatPart(this.allowance, this.nodes, assumedCalls);
-        const created: RouteBudget = { budget: new RepeatBudget(part, this.readNowMs()), calls: assumedCalls };
+        const figures = { calls: assumedCalls, directShare: 1 };
+        const part = computeRepeatPart(this.allowance, this.nodes, figures);
+        const created: RouteBudget = { budget: new RepeatBudget(part, this.readNowMs()), ...figures };
         this.routes.set(route, created);
         return created;
     }
--- a/src/relay/activeRequests.ts
+++ b/src/relay/activeRequests.ts
@@ -1,6 +1,6 @@
 /** Requests at the local upstream, and what the calls that it makes for them meet. */
 
-import { type LoadReport } from "./types";
+import { type HopOrder, type LoadReport } from "./types";
 
 /** One request that the local upstream is running. */
 export interface ActiveRequest {
@@ -11,6 +11,8 @@
     allCalls: number;
     /** Whether it has been sent to an upstream before, so that its calls count as repeats. */
     readonly isRepeat: boolean;
+    /** Rank of the caller's request that it is done for. */
+    readonly rank: number;
     /** Whether one of its calls came to no answer for lack of room, so that it is probably going to fail. */
     hasRefusedCall: boolean;
 }
@@ -21,9 +23,9 @@
 
     constructor(private readonly callSeparator: string) {}
 
-    add(id: string, isRepeat: boolean): ActiveRequest {
-        const request: ActiveRequest = { calls: 0, congestion: 0, allCalls: 0, isRepeat, hasRefusedCall: false };
-        this.byId.set(id, request);
+    add({ requestId, isRepeat, rank }: Pick<HopOrder, "requestId" | "isRepeat" | "rank">): ActiveRequest {
+        const request: ActiveRequest = { calls: 0, congestion: 0, allCalls: 0, isRepeat, rank, hasRefusedCall: false };
+        this.byId.set(requestId, request);
         return request;
     }
 
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -146,7 +146,7 @@
             callerService: readService(),
             idempotent: route.idempotent,
             nested: parent !== undefined,
-            rank: route.rank,
+            rank: parent?.rank ?? route.rank,
             targetLatencyMs: route.targetLatencyMs,
             deadlineAtMs: this.deadlineAtMs,
         };
--- a/src/relay/entry/sending.ts
+++ b/src/relay/entry/sending.ts
@@ -154,7 +154,7 @@
         if (this.isFinished) {
             return;
         }
-        this.recordResult(hop, result, report?.calls ?? 0);
+        this.recordResult(hop, result, report);
         if (this.trySendAgain(result) || this.hops.size > 0 && !isSuccess(result)) {
             return;
         }
@@ -229,7 +229,7 @@
         this.parts.shedding.recordAnswer(route.name, route.rank, report.congestion);
     }
 
-    private recordResult({ upstreamId, sentAtMs }: ActiveHop, result: HopResult, calls: number): void {
+    private recordResult({ upstreamId, sentAtMs }: ActiveHop, result: HopResult, report: LoadReport | undefined): void {
         const isUnreached = result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved";
         (isUnreached ? this.refusing : this.offered).push(upstreamId);
         if (result.kind === "not-run" && unreachableReasons.has(result.reason)) {
@@ -238,7 +238,9 @@
         if (isSuccess(result)) {
             const { name } = this.order.route;
             this.parts.answerTimes.record(name, this.parts.readNowMs() - sentAtMs);
-            this.parts.budgets.recordCalls(name, calls);
+            if (report) {
+                this.parts.budgets.recordAnswer(name, this.order.request.nested, report);
+            }
         }
         this.mayHaveRun ||= result.kind !== "not-run";
         this.fallback = result.kind === "answered" ? result : this.fallback;
--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -29,7 +29,7 @@
 }
 
 const requestFieldCount = 10;
-const answerFieldCount = 9;
+const answerFieldCount = 10;
 const refusedBelowWord = "ran-refused-below";
 const notRunPrefix = "not-run:";
 
@@ -103,6 +103,7 @@
         report.limit,
         report.meanMs.toFixed(1),
         report.leaving ? 1 : 0,
+        report.directShare.toFixed(2),
         report.calls,
         report.version,
     ].join(" ");
@@ -113,7 +114,8 @@
     if (fields.length !== answerFieldCount) {
         return undefined;
     }
-    const [word, congestion, inFlight, queued, limit, meanMs, leaving, calls, version] = fields as string[];
+    const [word, congestion, inFlight, queued, limit, meanMs, leaving, directShare, calls, version] =
+        fields as string[];
     return {
         outcome: parseOutcome(word!),
         report: {
@@ -123,6 +125,7 @@
             limit: Number(limit),
             meanMs: Number(meanMs),
             leaving: leaving === "1",
+            directShare: Number(directShare),
             calls: Number(calls),
             version: Number(version),
         },
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -3,11 +3,13 @@
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
 import { findHeader, isBodiless } from "../../tasks/_lib/headers";
 import { deriveOutcome, encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
+import { type DecisionLog } from "../log";
 import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
 import { type CallFigures, noCalls, ServedHop, type ServedHopParts } from "./servedHop";
 
 /** What the ingress works with. */
 export interface IngressParts extends ServedHopParts {
+    readonly log: DecisionLog;
     readonly maxBodyBytes: () => number;
     /** Computes what the sender of a request is told, with what the request's own calls have met. */
     readonly createReport: (order: HopOrder, below: CallFigures) => LoadReport;
@@ -41,6 +43,7 @@
             openStream: head => owner.openStream(head),
             settle: result => {
                 this.inFlight -= 1;
+                this.writeFailure(order, result);
                 owner.settle(result, this.parts.createReport(order, served.describeBelow()));
             },
         };
@@ -53,6 +56,26 @@
         return () => served.cancel();
     }
 
+    private writeFailure(order: HopOrder, result: HopResult): void {
+        if (result.kind === "answered") {
+            return;
+        }
+        const { queued, inFlight, limit } = this.parts.slots.readFigures();
+        this.parts.log.write("hop-failed", {
+            request: order.requestId,
+            route: order.route,
+            upstream: order.upstreamId,
+            nested: order.nested,
+            rank: order.rank,
+            result: result.kind,
+            reason: result.kind === "not-run" ? result.reason : result.cause,
+            remainingMs: Math.round(order.deadlineAtMs - this.parts.readNowMs()),
+            queued,
+            inFlight,
+            limit,
+        });
+    }
+
     /** Computes the deadline of a request of another node, which goes on waiting for a number of milliseconds. */
     computeDeadline(remainingMs: number): number {
         return this.parts.readNowMs() + remainingMs - this.parts.readStaleMs();
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -47,6 +47,7 @@
 export class ServedHop implements SlotApplicant, AttemptOwner {
     readonly route: string;
     readonly nested: boolean;
+    readonly rank: number;
     readonly targetLatencyMs: number;
     readonly deadlineAtMs: number;
     private withdraw: () => void = () => undefined;
@@ -65,6 +66,7 @@
     ) {
         this.route = order.route;
         this.nested = order.nested;
+        this.rank = order.rank;
         this.targetLatencyMs = order.targetLatencyMs;
         this.deadlineAtMs = order.deadlineAtMs;
         this.buffer = new AnswerBuffer(head => owner.openStream(head));
@@ -119,7 +121,7 @@
         }
         const { method, path, body, idempotent } = this.order;
         const rawHeaders = this.createHeaders();
-        this.active = this.parts.activeRequests.add(this.order.requestId, this.order.isRepeat);
+        this.active = this.parts.activeRequests.add(this.order);
         this.attempt = new Attempt(method, this, true);
         sendAttempt(this.parts.upstream, { method, path, rawHeaders, body, idempotent }, this.attempt);
     }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -133,6 +133,7 @@
             onForeignAnswer: () => this.upstream.recordForeignAnswer(),
             onAnswered: order => this.poison.recordAnswer(order),
             activeRequests: this.activeRequests,
+            log: this.log,
             maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
             createReport: (order, below) => this.createReport(order, below),
             onVersionSeen,
@@ -258,8 +259,8 @@
         return this.peers.send(record?.host ?? "", order, owner);
     }
 
-    private createReport({ targetLatencyMs, nested }: HopOrder, below: CallFigures): LoadReport {
-        const own = this.slots.computeCongestion(targetLatencyMs, nested);
+    private createReport(order: HopOrder, below: CallFigures): LoadReport {
+        const own = this.slots.computeCongestion(order);
         return {
             ...this.slots.readFigures(),
             congestion: Math.max(own, below.congestion),
--- a/src/relay/slotQueue/index.ts
+++ b/src/relay/slotQueue/index.ts
@@ -1,5 +1,6 @@
 /** The slots of the local upstream and the queue in front of them. */
 import { computeCongestion } from "../../decisions/computeCongestion";
+import { computeSlotDue, type DueOrder } from "../../decisions/computeSlotDue";
 import { computeMaxWait, computeSlotWait } from "../../decisions/computeSlotWait";
 import { type Timeout, type TimerWheel } from "../../tasks/_lib/timerWheel";
 
@@ -7,6 +8,7 @@
 export interface SlotApplicant {
     readonly route: string;
     readonly nested: boolean;
+    readonly rank: number;
     readonly targetLatencyMs: number;
     readonly deadlineAtMs: number;
     /** Called when the request holds a slot, which it has to give back with the grant. */
@@ -34,6 +36,8 @@
     readonly queued: number;
     readonly limit: number;
     readonly meanMs: number;
+    /** Share of the slot time that requests of callers take, 0 to 1. */
+    readonly directShare: number;
 }
 
 /** Share of the declared slots in use; upstreams slow down when they are nearly full. */
@@ -51,8 +55,6 @@
 const shareWeight = 0.02;
 /** Mean time of a request before the first reading, in milliseconds. */
 const initialMeanMs = 50;
-/** Weight of a nested request's target in the order of the queue: work under way goes before new work. */
-const nestedDueShare = 0.5;
 
 /** Grants slots in the order in which requests are due, and refuses at once what would wait too long. */
 export class SlotQueue {
@@ -74,16 +76,17 @@
     }
 
     readFigures(): SlotFigures {
-        return { inFlight: this.inFlight, queued: this.waiting.length, limit: this.limit, meanMs: this.meanMs };
+        const { inFlight, limit, meanMs, directShare } = this;
+        return { inFlight, queued: this.waiting.length, limit, meanMs, directShare };
     }
 
     /**
-     * Computes how congested the upstream is for one more request, 0 to 1. Where most of the work is nested, requests of
-     * callers can relieve it but little, and give way accordingly less.
+     * Computes how congested the upstream is for one more such request, 0 to 1: by the place that it would get, so that
+     * important requests see less of the congestion that others make.
      */
-    computeCongestion(targetLatencyMs: number, nested: boolean): number {
-        const congestion = computeCongestion(this.computeWait(this.waiting.length), targetLatencyMs);
-        return nested ? congestion : congestion * Math.min(1, 2 * this.directShare);
+    computeCongestion(order: DueOrder): number {
+        const index = this.findPlace(this.readNowMs() + computeSlotDue(order, this.directShare));
+        return computeCongestion(this.computeWait(index), order.targetLatencyMs);
     }
 
     /** Asks for a slot; the applicant is called back now or later. Returns what withdraws it. */
@@ -93,7 +96,7 @@
             return () => undefined;
         }
         const nowMs = this.readNowMs();
-        const dueMs = nowMs + applicant.targetLatencyMs * (applicant.nested ? nestedDueShare : 1);
+        const dueMs = nowMs + computeSlotDue(applicant, this.directShare);
         const index = this.findPlace(dueMs);
         const maxWaitMs = this.computeMaxWait(applicant, nowMs);
         if (this.computeWait(index) > maxWaitMs) {
--- a/src/relay/slotQueue/test.ts
+++ b/src/relay/slotQueue/test.ts
@@ -15,6 +15,7 @@
         const applicant: Applied = {
             route: "lookup",
             nested: false,
+            rank: 2,
             targetLatencyMs: 500,
             deadlineAtMs: clock.readMonotonicMs() + 2_000,
             events,
@@ -62,7 +63,18 @@
         const events: string[] = [];
         Array.from({ length: 9 }, (unused, index) => apply(`r${index}`, events));
         expect(events).toEqual(["r0 runs"]);
-        expect(queue.computeCongestion(500, false)).toBeGreaterThan(0.8);
+        expect(queue.computeCongestion({ nested: false, rank: 2, targetLatencyMs: 500 })).toBeGreaterThan(0.8);
+    });
+
+    it("lets important requests pass others, and tells them of no congestion that they don't meet", () => {
+        const { queue, apply } = createQueue(1);
+        const events: string[] = [];
+        const first = apply("first", events, { nested: true });
+        Array.from({ length: 8 }, (unused, index) => apply(`other${index}`, events, { nested: true }));
+        expect(queue.computeCongestion({ nested: true, rank: 0, targetLatencyMs: 500 })).toBe(0);
+        apply("important", events, { nested: true, rank: 0 });
+        queue.release(first.grant!, first, true);
+        expect(events).toEqual(["first runs", "important runs"]);
     });
 });
 
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -66,6 +66,7 @@
     readonly nested: boolean;
     /** Whether the request, or one that it is a call of, has been sent to an upstream before. */
     readonly isRepeat: boolean;
+    /** Rank of the caller's request that it is done for; 0 is the most important. */
     readonly rank: number;
     readonly targetLatencyMs: number;
     /** Steady time at which nobody waits for the answer any more, in milliseconds. */
@@ -122,6 +123,8 @@
     /** Mean time that a request holds a slot, in milliseconds. */
     readonly meanMs: number;
     readonly leaving: boolean;
+    /** Share of the slot time that requests of callers take, 0 to 1. */
+    readonly directShare: number;
     /** Calls that the request has led to, over all levels below. */
     readonly calls: number;
     /** Version of the routing table that the node has in force, 0 for none. */
