--- /dev/null
+++ b/src/relay/awaitDrained.ts
@@ -0,0 +1,36 @@
+/** Waits after the stop signal until nothing is left to be done, or no more time. */
+
+/** What the wait depends on; times in milliseconds. */
+export interface DrainParts {
+    /** Requests without their final answer. */
+    readonly readPending: () => number;
+    /** Steady time at which the last request of a caller came. */
+    readonly readLastEntryMs: () => number;
+    readonly readNowMs: () => number;
+    /** Time that callers take to learn that the node is leaving. */
+    readonly leaveAfterMs: number;
+    /** Time from the stop signal to the kill. */
+    readonly graceMs: number;
+}
+
+/** Quiet at the entry that shows that the callers have gone, in milliseconds. */
+const quietMs = 300;
+/** Time that closing takes before the process is killed, in milliseconds. */
+const marginMs = 400;
+const pollMs = 20;
+
+/** Resolves when the callers have gone and all requests have their answers, or shortly before the kill. */
+export const awaitDrained = async (parts: DrainParts): Promise<void> => {
+    const startMs = parts.readNowMs();
+    const isOver = (): boolean => {
+        const nowMs = parts.readNowMs();
+        if (nowMs - startMs > parts.graceMs - marginMs) {
+            return true;
+        }
+        const isQuiet = nowMs - parts.readLastEntryMs() > quietMs;
+        return parts.readPending() === 0 && isQuiet && nowMs - startMs > parts.leaveAfterMs;
+    };
+    while (!isOver()) {
+        await new Promise(resolve => setTimeout(resolve, pollMs));
+    }
+};
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -17,8 +17,6 @@
     readonly onVersionSeen: (host: string, version: number) => void;
     /** Time by which a request that is read now may be older than it says, in milliseconds. */
     readonly readStaleMs: () => number;
-    /** Whether the node takes no new work. */
-    readonly isLeaving: () => boolean;
 }
 
 const unavailableStatus = 503;
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -22,6 +22,8 @@
     /** Told when the upstream has answered. */
     readonly onAnswered: (order: HopOrder) => void;
     readonly activeRequests: ActiveRequests;
+    /** Whether the upstream takes no new work, since it or its node is leaving. */
+    readonly isLeaving: () => boolean;
 }
 
 /** What the calls of one request have met. */
@@ -114,9 +116,10 @@
 
     run(grant: SlotGrant): void {
         this.grant = grant;
-        if (this.computeRemainingMs() < minAttemptMs) {
+        const isLeaving = this.parts.isLeaving();
+        if (isLeaving || this.computeRemainingMs() < minAttemptMs) {
             this.releaseSlot(false);
-            this.settle({ kind: "not-run", reason: "expired" });
+            this.settle({ kind: "not-run", reason: isLeaving ? "leaving" : "expired" });
             return;
         }
         const { method, path, body, idempotent } = this.order;
@@ -179,7 +182,7 @@
             return true;
         }
         const encoding = findHeader(head.rawHeaders, "content-encoding") ?? "";
-        return id === this.order.requestId && plainEncodings.has(encoding);
+        return (id ?? "") === this.order.requestId && plainEncodings.has(encoding);
     }
 
     private createHeaders(): string[] {
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -14,6 +14,7 @@
 import { RepeatBudgets } from "./_lib/repeatBudgets";
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
+import { awaitDrained } from "./awaitDrained";
 import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
@@ -31,13 +32,11 @@
 import { type FleetSource } from "./source";
 import { type HeaderNames, type HopOrder, type LoadReport, type RelaySettings } from "./types";
 import { UpstreamDirectory } from "./upstreamDirectory";
+import { UpstreamLeaving } from "./upstreamLeaving";
 import { ViewSync } from "./viewSync";
 
-/** Quiet at the entry that shows that the callers have gone, in milliseconds. */
-const quietMs = 300;
-/** Margin for closing before the process is killed, in milliseconds. */
-const stopMarginMs = 400;
-const stopPollMs = 20;
+/** Bound on the headers of a request; several times what routing tables allow, which is known only later. */
+const maxEntryHeaderBytes = 64 * 1024;
 
 /** The process in the slot beside an upstream. */
 export class RelayNode {
@@ -59,6 +58,7 @@
     private upstream: ConnectionPool;
     private servers: readonly HttpServer[] = [];
     private linkServer: Server | undefined;
+    private readonly upstreamLeaving: UpstreamLeaving;
     private hasRecords = false;
     private stoppingSinceMs: number | undefined;
     private lastEntryMs = 0;
@@ -80,6 +80,7 @@
         this.shedding = new Shedding(readNowMs);
         this.activeRequests = new ActiveRequests(names.callSeparator);
         this.budgets = new RepeatBudgets({ ratio, slack, windowMs }, readNowMs);
+        this.upstreamLeaving = new UpstreamLeaving(readNowMs);
         this.slots = new SlotQueue(this.wheel, readNowMs);
         this.upstream = new ConnectionPool(settings.upstream, { readNowMs });
         this.metrics = new RelayMetrics(() => ({
@@ -137,7 +138,7 @@
             maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
             createReport: (order, below) => this.createReport(order, below),
             onVersionSeen,
-            isLeaving: () => this.stoppingSinceMs !== undefined,
+            isLeaving: () => this.isLeaving(),
         });
         this.entry = new Entry({
             names,
@@ -172,7 +173,7 @@
             registry: this.metrics.registry,
         });
         this.servers = await Promise.all([
-            openListener(entry, (request, response) => this.handleEntry(request, response)),
+            openListener(entry, (request, response) => this.handleEntry(request, response), maxEntryHeaderBytes),
             openListener(peers, (request, response) =>
                 this.ingress.handle(
                     new HttpCallRequest(request, response),
@@ -220,12 +221,15 @@
         if (this.stoppingSinceMs !== undefined) {
             return;
         }
-        const startMs = this.clock.readMonotonicMs();
-        this.stoppingSinceMs = startMs;
+        this.stoppingSinceMs = this.clock.readMonotonicMs();
         this.log.writeAlways("stop-requested", { pending: this.entry.pending, atUpstream: this.ingress.pending });
-        while (!this.canClose(startMs)) {
-            await new Promise(resolve => setTimeout(resolve, stopPollMs));
-        }
+        await awaitDrained({
+            readPending: () => this.entry.pending + this.ingress.pending,
+            readLastEntryMs: () => this.lastEntryMs,
+            readNowMs: this.clock.readMonotonicMs,
+            leaveAfterMs: this.settings.leaveAfterMs,
+            graceMs: this.settings.stopGraceMs,
+        });
         this.log.writeAlways("node-stopping", { pending: this.entry.pending, atUpstream: this.ingress.pending });
         this.source.stop();
         this.linkServer?.close();
@@ -236,15 +240,6 @@
         this.wheel.stop();
     }
 
-    private canClose(startMs: number): boolean {
-        const nowMs = this.clock.readMonotonicMs();
-        if (nowMs - startMs > this.settings.stopGraceMs - stopMarginMs) {
-            return true;
-        }
-        const isIdle = this.entry.pending === 0 && this.ingress.pending === 0;
-        return isIdle && nowMs - startMs > this.settings.leaveAfterMs && nowMs - this.lastEntryMs > quietMs;
-    }
-
     private handleEntry(request: IncomingMessage, response: ServerResponse): void {
         this.lastEntryMs = this.clock.readMonotonicMs();
         this.entry.handle(new HttpCallRequest(request, response));
@@ -265,7 +260,7 @@
             ...this.slots.readFigures(),
             congestion: Math.max(own, below.congestion),
             calls: below.calls,
-            leaving: this.stoppingSinceMs !== undefined,
+            leaving: this.isLeaving(),
             version: this.routing.version,
         };
     }
@@ -278,6 +273,7 @@
         if (own) {
             this.slots.updateSlots(own.slots);
         }
+        this.upstreamLeaving.update(own?.state);
         this.log.write("upstreams-read", {
             total: records.length,
             ready: records.filter(({ state }) => state === "ready").length,
@@ -285,6 +281,10 @@
         });
     }
 
+    private isLeaving(): boolean {
+        return this.stoppingSinceMs !== undefined || this.upstreamLeaving.isOver();
+    }
+
     private listControlAddresses(service: string): readonly Address[] {
         return this.directory.list()
             .filter(record => record.service === service && record.host !== this.settings.host)
--- a/src/relay/test.ts
+++ b/src/relay/test.ts
@@ -205,6 +205,23 @@
     });
 });
 
+describe("a draining upstream that a node has not heard of", () => {
+    it("has requests of that node sent elsewhere after a second", async () => {
+        await startFleet(sendWholeAnswer, sendWholeAnswer);
+        const [stale, draining] = fleet.members;
+        const records = [{ ...draining!.record, state: "draining" as const }, stale!.record];
+        draining!.source.publish(undefined, records);
+        stale!.source.publish(undefined, [draining!.record]);
+        expect((await sendToEntry(stale!)).status).toBe(200);
+        expect(draining!.received.length).toBe(1);
+        await new Promise(resolve => setTimeout(resolve, 1_050));
+        expect((await sendToEntry(stale!)).status).toBe(503);
+        stale!.source.publish(undefined, [draining!.record, stale!.record]);
+        expect((await sendToEntry(stale!)).status).toBe(200);
+        expect(draining!.received.length).toBe(1);
+    });
+});
+
 describe("the stop of a node", () => {
     it("cuts off no request, and has other nodes send elsewhere", async () => {
         const answerLate: UpstreamBehaviour = (request, response) => {
--- a/src/tasks/_lib/openListener.ts
+++ b/src/tasks/_lib/openListener.ts
@@ -6,6 +6,7 @@
 export const openListener = (
     address: Address,
     handle: (request: IncomingMessage, response: ServerResponse) => void,
+    maxHeaderSize = maxHeaderBytes,
 ): Promise<Server> => {
     const handleOnce = (request: IncomingMessage, response: ServerResponse): void => {
         response.once("finish", () => endUnread(request));
@@ -14,7 +15,7 @@
     const server = createServer({
         keepAlive: true,
         keepAliveTimeout: keepAliveTimeoutMs,
-        maxHeaderSize: maxHeaderBytes,
+        maxHeaderSize,
         requestTimeout: 0,
         noDelay: true,
     }, handleOnce);
