--- /dev/null
+++ b/src/relay/link/test.ts
@@ -0,0 +1,28 @@
+import { encodeFrame, type Frame, frameKinds, FrameReader } from "./frames";
+
+const encode = (frame: Frame): Buffer => Buffer.concat([...encodeFrame(frame)]);
+
+describe("frames", () => {
+    it("come out as they went in, however the bytes are cut", () => {
+        const frames: readonly Frame[] = [
+            [frameKinds.request, 1, "hop", "id", "POST", "/x", ["Host", "a"], Buffer.from("body")],
+            [frameKinds.cancel, 1],
+            [frameKinds.answer, 2, "hop", 200, [], Buffer.alloc(3_000, "x")],
+        ];
+        const bytes = Buffer.concat(frames.map(encode));
+        [1, 7, 1_000, bytes.length].forEach(size => {
+            const reader = new FrameReader();
+            const read: Frame[] = [];
+            for (let start = 0; start < bytes.length; start += size) {
+                read.push(...reader.read(bytes.subarray(start, start + size))!);
+            }
+            expect(JSON.stringify(read)).toBe(JSON.stringify(frames));
+        });
+    });
+
+    it("are refused when they are too long or no frames", () => {
+        expect(new FrameReader().read(Buffer.from([255, 255, 255, 255]))).toBeUndefined();
+        expect(new FrameReader().read(Buffer.from([0, 0, 0, 1, 0xc1]))).toBeUndefined();
+        expect(new FrameReader().read(Buffer.from([0, 0, 0, 1, 5]))).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/src/relay/upstreamDirectory/test.ts
@@ -0,0 +1,77 @@
+import { createRecord } from "../../testing/createRoute";
+import { type LoadReport } from "../types";
+import { UpstreamDirectory } from "./index";
+
+const createReport = (changes: Partial<LoadReport> = {}): LoadReport => ({
+    congestion: 0,
+    inFlight: 0,
+    queued: 0,
+    limit: 9,
+    meanMs: 20,
+    directShare: 1,
+    leaving: false,
+    calls: 0,
+    version: 1,
+    ...changes,
+});
+
+const createDirectory = () => {
+    const clock = { nowMs: 0 };
+    const directory = new UpstreamDirectory("pvl-a", () => clock.nowMs);
+    directory.update([
+        createRecord({ id: "near" }),
+        createRecord({ id: "far", failureDomain: "pvl-b", host: "127.0.0.3" }),
+        createRecord({ id: "draining", state: "draining" }),
+        createRecord({ id: "other", service: "gate" }),
+    ]);
+    const listIds = (excluded: readonly string[] = []): string =>
+        directory.listCandidates("desk", excluded).map(({ id }) => id).join(",");
+    return { clock, directory, listIds };
+};
+
+describe("UpstreamDirectory", () => {
+    it("lists what takes work, without what is excluded", () => {
+        const { listIds } = createDirectory();
+        expect(listIds()).toBe("near,far");
+        expect(listIds(["near"])).toBe("far");
+    });
+
+    it("corrects a report by what has been sent since", () => {
+        const { directory } = createDirectory();
+        directory.recordSent("near");
+        directory.recordReport("near", createReport({ inFlight: 5, queued: 2 }));
+        directory.recordSent("near");
+        directory.recordSent("near");
+        expect(directory.listCandidates("desk", [])[0]).toMatchObject({ occupied: 9, limit: 9, meanMs: 20 });
+        directory.recordEnded("near");
+        expect(directory.listCandidates("desk", [])[0]!.occupied).toBe(8);
+    });
+
+    it("leaves a leaving node out for a while, whatever the list says", () => {
+        const { clock, directory, listIds } = createDirectory();
+        directory.recordReport("near", createReport({ leaving: true }));
+        expect(listIds()).toBe("far");
+        clock.nowMs += 3_100;
+        expect(listIds()).toBe("near,far");
+    });
+
+    it("suspects what can't be reached, longer each time, until it answers", () => {
+        const { clock, directory } = createDirectory();
+        const isSuspected = (): boolean => directory.listCandidates("desk", [])[0]!.suspected;
+        expect(directory.recordFailure("near")).toBe(200);
+        expect(isSuspected()).toBe(true);
+        clock.nowMs += 250;
+        expect(isSuspected()).toBe(false);
+        expect(directory.recordFailure("near")).toBe(400);
+        directory.recordReport("near", createReport());
+        expect(isSuspected()).toBe(false);
+        expect(directory.recordFailure("near")).toBe(200);
+    });
+
+    it("finds the latest of the records at an address", () => {
+        const { directory } = createDirectory();
+        directory.update([createRecord({ id: "old", bornAtMs: 1 }), createRecord({ id: "new", bornAtMs: 2 })]);
+        expect(directory.findAt("127.0.0.2", 9_000)?.id).toBe("new");
+        expect(directory.findAt("127.0.0.2", 1)).toBeUndefined();
+    });
+});
