--- a/src/relay/log/index.ts
+++ b/src/relay/log/index.ts
@@ -5,7 +5,7 @@
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /** Lines that one node writes on requests in a second. */
-const maxLinesPerSecond = 40;
+const maxLinesPerSecond = 20;
 const windowMs = 1_000;
 
 /** Writes one line for each decision as long as the budget lasts, then counts what it leaves out. */
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -55,7 +55,7 @@
     }
 
     readBody(options: BodyOptions, finish: (result: BodyResult) => void): void {
-        if (this.request.headers.expect !== undefined) {
+        if (findHeader(this.rawHeaders, "expect") !== undefined) {
             this.response.writeContinue();
         }
         readBody(this.request, options, finish);
--- a/src/tasks/_lib/readBody.ts
+++ b/src/tasks/_lib/readBody.ts
@@ -1,6 +1,7 @@
 import { type IncomingMessage } from "node:http";
 import { type Readable, Transform } from "node:stream";
 import { maxReplayBodyBytes } from "../../constants";
+import { findHeader } from "./headers";
 
 /** A request body: whole in memory when it is small, otherwise the stream itself. */
 export type RequestBody = Buffer | Readable | undefined;
@@ -34,8 +35,10 @@
     readonly maxBytes: number;
 }
 
-const hasBody = (request: IncomingMessage): boolean =>
-    request.headers["transfer-encoding"] !== undefined || Number(request.headers["content-length"] ?? 0) > 0;
+/** Reads the raw headers: the object of all headers would be made for each request, and for this alone. */
+const hasBody = ({ rawHeaders }: IncomingMessage): boolean =>
+    findHeader(rawHeaders, "transfer-encoding") !== undefined
+    || Number(findHeader(rawHeaders, "content-length") ?? 0) > 0;
 
 const readWhole = (request: IncomingMessage, maxBytes: number, finish: (result: BodyResult) => void): void => {
     const chunks: Buffer[] = [];
@@ -74,7 +77,7 @@
         finish({ kind: "body", body: undefined });
         return;
     }
-    const length = request.headers["content-length"];
+    const length = findHeader(request.rawHeaders, "content-length");
     if (Number(length ?? 0) > options.maxBytes) {
         finish({ kind: "too-large" });
         return;
