--- /dev/null
+++ b/src/relay/awaitDrained.test.ts
@@ -0,0 +1,30 @@
+import { awaitDrained } from "./awaitDrained";
+
+const runDrain = async (pendingUntilMs: number, entriesUntilMs: number): Promise<number> => {
+    const startMs = performance.now();
+    const readNowMs = (): number => performance.now() - startMs;
+    await awaitDrained({
+        readPending: () => readNowMs() < pendingUntilMs ? 1 : 0,
+        readLastEntryMs: () => Math.min(readNowMs(), entriesUntilMs),
+        readNowMs,
+        leaveAfterMs: 100,
+        graceMs: 1_500,
+    });
+    return readNowMs();
+};
+
+describe("awaitDrained", () => {
+    it("waits until callers have had the time to learn of it", async () => {
+        expect(await runDrain(0, -1_000)).toBeGreaterThanOrEqual(100);
+    });
+
+    it("waits for requests under way", async () => {
+        expect(await runDrain(300, -1_000)).toBeGreaterThanOrEqual(300);
+    });
+
+    it("waits while requests of callers still come, and leaves time to close before the kill", async () => {
+        const endMs = await runDrain(10_000, 10_000);
+        expect(endMs).toBeGreaterThanOrEqual(600);
+        expect(endMs).toBeLessThan(1_500);
+    });
+});
--- a/src/relay/awaitDrained.ts
+++ b/src/relay/awaitDrained.ts
@@ -15,8 +15,8 @@
 
 /** Quiet at the entry that shows that the callers have gone, in milliseconds. */
 const quietMs = 300;
-/** Time that closing takes before the process is killed, in milliseconds. */
-const marginMs = 400;
+/** Time that closing takes before the process is killed, in milliseconds; listeners take `closeGraceMs` of it. */
+const marginMs = 900;
 const pollMs = 20;
 
 /** Resolves when the callers have gone and all requests have their answers, or shortly before the kill. */
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -33,7 +33,6 @@
     readonly log: DecisionLog;
     readonly metrics: RelayMetrics;
     readonly sendHop: SendHop;
-    readonly isStopping: () => boolean;
     readonly readNowMs: () => number;
     /** Time by which a request that is read now may be older than it says, in milliseconds. */
     readonly readStaleMs: () => number;
--- a/src/relay/metrics/index.ts
+++ b/src/relay/metrics/index.ts
@@ -1,5 +1,6 @@
 /** Metrics of a relay node, in the format of Prometheus. */
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
+import { registerGauge } from "../../_lib/registerGauge";
 import { type SlotFigures } from "../slotQueue";
 
 /** Figures that are read when the metrics are scraped. */
@@ -55,7 +56,7 @@
             ["pomelovalve_known_upstreams", "Upstreams in the list.", () => readFigures().upstreams],
             ["pomelovalve_resident_memory_bytes", "Resident memory of the node.", () => process.memoryUsage.rss()],
         ];
-        gauges.forEach(([name, help, read]) => this.registerGauge(name, help, read));
+        gauges.forEach(([name, help, read]) => registerGauge(this.registry, name, help, read));
     }
 
     countAnswer(route: string, outcome: string, status: number, durationMs: number): void {
@@ -66,15 +67,4 @@
     countRepeat(service: string): void {
         this.repeats.inc({ service });
     }
-
-    private registerGauge(name: string, help: string, read: () => number): void {
-        new Gauge({
-            name,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
-    }
 }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -153,7 +153,6 @@
             log: this.log,
             metrics: this.metrics,
             sendHop: (order, owner) => this.sendHop(order, owner),
-            isStopping: () => this.stoppingSinceMs !== undefined,
             readNowMs,
             readStaleMs: () => this.pauseGuard.readStaleMs(),
             sampleRandom,
--- a/src/tasks/metrics/index.ts
+++ b/src/tasks/metrics/index.ts
@@ -1,5 +1,6 @@
 /** Metrics of one node, in the format of Prometheus. */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { registerGauge } from "../../_lib/registerGauge";
 import { type Importance, type Outcome } from "../../types";
 import { type RouteShare } from "../shedder";
 
@@ -58,34 +59,44 @@
     private readonly refusals = new Map<string, number>();
 
     constructor(readFigures: () => ScrapedFigures) {
-        this.registerGauge(
+        registerGauge(
+            this.registry,
             "pomelovalve_in_flight_requests",
             "Requests that the local upstream is running.",
             () => readFigures().inFlight,
         );
-        this.registerGauge(
+        registerGauge(
+            this.registry,
             "pomelovalve_concurrency_limit",
             "Requests that the local upstream may run at once.",
             () => readFigures().limit,
         );
-        this.registerGauge("pomelovalve_queued_requests", "Requests that wait for a slot.", () => readFigures().queued);
-        this.registerGauge(
+        registerGauge(
+            this.registry,
+            "pomelovalve_queued_requests",
+            "Requests that wait for a slot.",
+            () => readFigures().queued,
+        );
+        registerGauge(
+            this.registry,
             "pomelovalve_key_records",
             "Idempotency keys that this node keeps a record of.",
             () => readFigures().keyRecords,
         );
-        this.registerGauge(
+        registerGauge(
+            this.registry,
             "pomelovalve_policy_version",
             "Policy version in force, 0 for none.",
             () => readFigures().policyVersion,
         );
         this.registerShares(() => readFigures().shares);
-        this.registerGauge(
+        registerGauge(
+            this.registry,
             "pomelovalve_resident_memory_bytes",
             "Resident memory of the node.",
             () => process.memoryUsage.rss(),
         );
-        this.registerGauge("pomelovalve_processor_seconds", "Processor time that the node has used.", () => {
+        registerGauge(this.registry, "pomelovalve_processor_seconds", "Processor time that the node has used.", () => {
             const usage = process.cpuUsage();
             return (usage.user + usage.system) / 1e6;
         });
@@ -126,15 +137,4 @@
             },
         });
     }
-
-    private registerGauge(name: string, help: string, read: () => number): void {
-        new Gauge({
-            name,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
-    }
 }
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -18,7 +18,7 @@
 export const testNames: HeaderNames = {
     requestId: "x-request",
     deadline: "x-deadline",
-    callerService: "x-caller-service",
+    callerService: "x-origin-service",
     target: "x-target",
     notRun: "x-not-run",
     callSeparator: ".",
