--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -1,12 +1,10 @@
 /** One relay node as a process: its tasks, wired to each other and to their sockets. */
-import { type IncomingMessage, type Server as HttpServer, type ServerResponse } from "node:http";
-import { type Server } from "node:net";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Logger } from "pino";
 import { createRandom } from "../_lib/createRandom";
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
 import { HttpCallRequest } from "../tasks/_lib/callRequest";
 import { type Clock, systemClock } from "../tasks/_lib/clock";
-import { closeListener, openListener } from "../tasks/_lib/openListener";
 import { TimerWheel } from "../tasks/_lib/timerWheel";
 import { type Address } from "../types";
 import { AnswerTimes } from "./_lib/answerTimes";
@@ -20,12 +18,12 @@
 import { Entry, type SendHop } from "./entry";
 import { Ingress } from "./ingress";
 import { type CallFigures, noCalls } from "./ingress/servedHop";
-import { openLinkListener } from "./link/linkServer";
 import { DecisionLog } from "./log";
 import { RelayMetrics } from "./metrics";
 import { PauseGuard } from "./pauseGuard";
 import { Peers } from "./peers";
 import { PoisonGuard } from "./poisonGuard";
+import { RelayListeners } from "./relayListeners";
 import { RoutingInForce } from "./routing";
 import { Shedding } from "./shedding";
 import { SlotQueue } from "./slotQueue";
@@ -35,9 +33,6 @@
 import { UpstreamLeaving } from "./upstreamLeaving";
 import { ViewSync } from "./viewSync";
 
-/** Bound on the headers of a request; several times what routing tables allow, which is known only later. */
-const maxEntryHeaderBytes = 64 * 1024;
-
 /** The process in the slot beside an upstream. */
 export class RelayNode {
     private readonly wheel: TimerWheel;
@@ -56,8 +51,7 @@
     private readonly viewSync: ViewSync;
     private readonly pauseGuard: PauseGuard;
     private upstream: ConnectionPool;
-    private servers: readonly HttpServer[] = [];
-    private linkServer: Server | undefined;
+    private listeners: RelayListeners | undefined;
     private readonly upstreamLeaving: UpstreamLeaving;
     private hasRecords = false;
     private stoppingSinceMs: number | undefined;
@@ -96,96 +90,33 @@
             log: this.log,
             listPeers: () => this.listControlAddresses(this.settings.service),
         });
-        this.viewSync = new ViewSync({
-            readVersion: () => this.routing.version,
-            controlPort: deriveControlAddress(this.settings.peers).port,
-            onView: (view, host) => {
-                if (view.table) {
-                    this.routing.adopt(view.table, host);
-                }
-                if (!this.hasRecords && view.upstreams.length > 0) {
-                    this.takeUpstreams(view.upstreams);
-                }
-            },
-            readNowMs,
-        });
-        const onVersionSeen = (host: string, version: number): void => this.viewSync.observe(host, version);
-        const readVersion = (): number => this.routing.version;
-        this.peers = new Peers({
-            clock,
-            wheel: this.wheel,
-            port: settings.peers.port,
-            linkPort: deriveLinkAddress(this.settings.peers).port,
-            readVersion,
-            onVersionSeen,
-            onSilent: (host, ids) => {
-                ids.forEach(id => this.directory.recordFailure(id));
-                this.log.write("node-silent", { host, upstreams: ids.join(",") });
-            },
-        });
-        this.ingress = new Ingress({
-            names,
-            upstream: { dispatch: (options, handler) => this.upstream.dispatch(options, handler) },
-            slots: this.slots,
-            readNowMs,
-            readStaleMs: () => this.pauseGuard.readStaleMs(),
-            isQuarantined: order => this.poison.isQuarantined(order),
-            onUpstreamLost: (order, sent) => this.poison.recordLoss(order, sent),
-            onForeignAnswer: () => this.upstream.recordForeignAnswer(),
-            onAnswered: order => this.poison.recordAnswer(order),
-            activeRequests: this.activeRequests,
-            log: this.log,
-            maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
-            createReport: (order, below) => this.createReport(order, below),
-            onVersionSeen,
-            isLeaving: () => this.isLeaving(),
-        });
-        this.entry = new Entry({
-            names,
-            readService: () => this.settings.service,
-            routing: this.routing,
-            directory: this.directory,
-            shedding: this.shedding,
-            activeRequests: this.activeRequests,
-            budgets: this.budgets,
-            answerTimes: new AnswerTimes(),
-            wheel: this.wheel,
-            log: this.log,
-            metrics: this.metrics,
-            sendHop: (order, owner) => this.sendHop(order, owner),
-            readNowMs,
-            readStaleMs: () => this.pauseGuard.readStaleMs(),
-            sampleRandom,
-        });
+        this.viewSync = this.createViewSync();
+        this.peers = this.createPeers();
+        this.ingress = this.createIngress(names);
+        this.entry = this.createEntry(names, sampleRandom);
     }
 
     /** Opens the listeners and begins to read the source. */
     async start(): Promise<void> {
-        const { entry, peers, admin } = this.settings;
-        const control = createControlHandler({
-            readView: () => ({ table: this.routing.table, upstreams: this.directory.list() }),
-            receiveSuspect: (fingerprint, node) => this.poison.receive(fingerprint, node),
-        });
-        const onAdmin = createAdminHandler({
-            readinessPath: this.settings.readinessPath,
-            isReady: () => this.stoppingSinceMs === undefined && this.routing.table !== undefined,
-            registry: this.metrics.registry,
-        });
-        this.servers = await Promise.all([
-            openListener(entry, (request, response) => this.handleEntry(request, response), maxEntryHeaderBytes),
-            openListener(peers, (request, response) =>
-                this.ingress.handle(
-                    new HttpCallRequest(request, response),
-                    request.socket.remoteAddress ?? "",
-                )),
-            openListener(admin, onAdmin),
-            openListener(deriveControlAddress(peers), control),
-        ]);
-        this.linkServer = await openLinkListener(deriveLinkAddress(peers), {
-            serve: (order, owner) => this.ingress.serve(order, owner),
-            computeDeadline: remainingMs => this.ingress.computeDeadline(remainingMs),
-            onVersionSeen: (host, version) => this.viewSync.observe(host, version),
-            createStreamReport: order => this.createReport(order, noCalls),
+        this.listeners = await RelayListeners.open(this.settings, {
+            onEntry: (request, response) => this.handleEntry(request, response),
+            onPeer: (request, response) =>
+                this.ingress.handle(new HttpCallRequest(request, response), request.socket.remoteAddress ?? ""),
+            onAdmin: createAdminHandler({
+                readinessPath: this.settings.readinessPath,
+                isReady: () => this.stoppingSinceMs === undefined && this.routing.table !== undefined,
+                registry: this.metrics.registry,
+            }),
+            onControl: createControlHandler({
+                readView: () => ({ table: this.routing.table, upstreams: this.directory.list() }),
+                receiveSuspect: (fingerprint, node) => this.poison.receive(fingerprint, node),
+            }),
+            links: {
+                serve: (order, owner) => this.ingress.serve(order, owner),
+                computeDeadline: remainingMs => this.ingress.computeDeadline(remainingMs),
+                onVersionSeen: (host, version) => this.viewSync.observe(host, version),
+                createStreamReport: order => this.createReport(order, noCalls),
+            },
         });
         this.peers.start();
         this.pauseGuard.start();
@@ -231,14 +162,85 @@
         });
         this.log.writeAlways("node-stopping", { pending: this.entry.pending, atUpstream: this.ingress.pending });
         this.source.stop();
-        this.linkServer?.close();
-        await Promise.all(this.servers.map(closeListener));
+        await this.listeners?.close();
         this.peers.stop();
         this.pauseGuard.stop();
         this.upstream.abort();
         this.wheel.stop();
     }
 
+    private createViewSync(): ViewSync {
+        return new ViewSync({
+            readVersion: () => this.routing.version,
+            controlPort: deriveControlAddress(this.settings.peers).port,
+            onView: (view, host) => {
+                if (view.table) {
+                    this.routing.adopt(view.table, host);
+                }
+                if (!this.hasRecords && view.upstreams.length > 0) {
+                    this.takeUpstreams(view.upstreams);
+                }
+            },
+            readNowMs: this.clock.readMonotonicMs,
+        });
+    }
+
+    private createPeers(): Peers {
+        const { peers } = this.settings;
+        return new Peers({
+            clock: this.clock,
+            wheel: this.wheel,
+            port: peers.port,
+            linkPort: deriveLinkAddress(peers).port,
+            readVersion: () => this.routing.version,
+            onVersionSeen: (host, version) => this.viewSync.observe(host, version),
+            onSilent: (host, ids) => {
+                ids.forEach(id => this.directory.recordFailure(id));
+                this.log.write("node-silent", { host, upstreams: ids.join(",") });
+            },
+        });
+    }
+
+    private createIngress(names: HeaderNames): Ingress {
+        return new Ingress({
+            names,
+            upstream: { dispatch: (options, handler) => this.upstream.dispatch(options, handler) },
+            slots: this.slots,
+            readNowMs: this.clock.readMonotonicMs,
+            readStaleMs: () => this.pauseGuard.readStaleMs(),
+            isQuarantined: order => this.poison.isQuarantined(order),
+            onUpstreamLost: (order, sent) => this.poison.recordLoss(order, sent),
+            onForeignAnswer: () => this.upstream.recordForeignAnswer(),
+            onAnswered: order => this.poison.recordAnswer(order),
+            activeRequests: this.activeRequests,
+            log: this.log,
+            maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
+            createReport: (order, below) => this.createReport(order, below),
+            onVersionSeen: (host, version) => this.viewSync.observe(host, version),
+            isLeaving: () => this.isLeaving(),
+        });
+    }
+
+    private createEntry(names: HeaderNames, sampleRandom: () => number): Entry {
+        return new Entry({
+            names,
+            readService: () => this.settings.service,
+            routing: this.routing,
+            directory: this.directory,
+            shedding: this.shedding,
+            activeRequests: this.activeRequests,
+            budgets: this.budgets,
+            answerTimes: new AnswerTimes(),
+            wheel: this.wheel,
+            log: this.log,
+            metrics: this.metrics,
+            sendHop: (order, owner) => this.sendHop(order, owner),
+            readNowMs: this.clock.readMonotonicMs,
+            readStaleMs: () => this.pauseGuard.readStaleMs(),
+            sampleRandom,
+        });
+    }
+
     private handleEntry(request: IncomingMessage, response: ServerResponse): void {
         this.lastEntryMs = this.clock.readMonotonicMs();
         this.entry.handle(new HttpCallRequest(request, response));
