--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -181,6 +181,7 @@
                     this.takeUpstreams(view.upstreams);
                 }
             },
+            onFailed: host => this.log.write("view-unavailable", { host, version: this.routing.version }),
             readNowMs: this.clock.readMonotonicMs,
         });
     }
--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -76,7 +76,13 @@
     }
 
     private publishSuspect(fingerprint: string): void {
-        this.parts.listPeers().forEach(address => void sendSuspect(address, fingerprint, this.node));
+        this.parts.listPeers().forEach(address => void this.sendTo(address, fingerprint));
+    }
+
+    private async sendTo(address: Address, fingerprint: string): Promise<void> {
+        if (!await sendSuspect(address, fingerprint, this.node)) {
+            this.parts.log.write("suspect-not-told", { host: address.host });
+        }
     }
 }
 
--- a/src/relay/viewSync.ts
+++ b/src/relay/viewSync.ts
@@ -7,6 +7,8 @@
     /** Port of the control listener, the same on all nodes. */
     readonly controlPort: number;
     readonly onView: (view: FleetView, host: string) => void;
+    /** Told that a node which is ahead did not answer. */
+    readonly onFailed: (host: string) => void;
     readonly readNowMs: () => number;
 }
 
@@ -34,8 +36,10 @@
     private async query(host: string): Promise<void> {
         const view = await queryView({ host, port: this.parts.controlPort });
         this.isAsking = false;
-        if (view) {
-            this.parts.onView(view, host);
+        if (!view) {
+            this.parts.onFailed(host);
+            return;
         }
+        this.parts.onView(view, host);
     }
 }
