--- a/src/relay/_lib/answerBuffer.ts
+++ b/src/relay/_lib/answerBuffer.ts
@@ -20,11 +20,6 @@
         return this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
     }
 
-    /** Whether a part of the answer has been passed on. */
-    isStreaming(): boolean {
-        return this.stream !== undefined;
-    }
-
     start(head: AnswerHead): void {
         this.head = head;
     }
--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -129,7 +129,7 @@
                 this.settle(pending, fields);
                 return;
             case frameKinds.streamStart:
-                this.startStream(id, pending, fields);
+                this.startStream(pending, fields);
                 return;
             case frameKinds.chunk:
                 this.forwardChunk(id, pending, fields[0] as Buffer);
@@ -151,13 +151,12 @@
         owner.settle(deriveHopResult(answer, { status, rawHeaders, body } as WireAnswer), answer?.report);
     }
 
-    private startStream(id: number, pending: Pending, [hop, status, rawHeaders]: readonly unknown[]): void {
+    private startStream(pending: Pending, [hop, status, rawHeaders]: readonly unknown[]): void {
         pending.answer = parseHopAnswer(String(hop));
         pending.sink = pending.owner.openStream({
             status: Number(status),
             rawHeaders: rawHeaders as readonly string[],
         });
-        this.pendings.set(id, pending);
     }
 
     private forwardChunk(id: number, { sink }: Pending, chunk: Buffer): void {
