Let entry shares follow the answers at any rate; put few direct requests first

A trace by second showed entry shares that took six seconds to fall: at some ten answers a second and node, windows without any answer counted as calm. They then took another six to grow back, while slots stood idle. Change: a span without answers says nothing for a second, then counts as calm; a span counts as the windows it lasted, but shrinks a share by no more windows than answers; growth takes two seconds instead of eight; the time a request waited counts as congestion, from a quarter of its target; direct requests that are few go ahead with hardly any regard to rank.

--- a/src/decisions/computeCongestion/index.ts
+++ b/src/decisions/computeCongestion/index.ts
@@ -1,5 +1,5 @@
 /** Share of the target latency spent waiting at which a service begins to count as congested. */
-const congestedFromShare = 0.15;
+const congestedFromShare = 0.25;
 /** Share of the target latency spent waiting at which new work has to stop. */
 const congestedFullyShare = 0.65;
 
--- a/src/decisions/computeSlotDue/index.ts
+++ b/src/decisions/computeSlotDue/index.ts
@@ -9,8 +9,9 @@
 
 /** Nested requests go before new ones of the same rank: their parents' work is wasted if they come too late. */
 const nestedShare = 0.5;
-/** Target latencies by which each rank comes later. */
+/** Target latencies by which each rank comes later; among few requests of callers, rank frees hardly any room. */
 const rankStep = 2;
+const fewRankStep = 0.5;
 /** Share of the slot time up to which requests of callers are few enough to go first. */
 const fewDirectShare = 0.25;
 
@@ -19,6 +20,8 @@
  * Requests of callers at an upstream that mostly serves nested ones would starve behind them; being few, they go first.
  */
 export const computeSlotDue = ({ nested, rank, targetLatencyMs }: DueOrder, directShare: number): number => {
-    const share = nested ? nestedShare : Math.min(1, directShare / fewDirectShare);
-    return share * targetLatencyMs * (1 + rankStep * rank);
+    if (nested || directShare >= fewDirectShare) {
+        return (nested ? nestedShare : 1) * targetLatencyMs * (1 + rankStep * rank);
+    }
+    return directShare / fewDirectShare * targetLatencyMs * (1 + fewRankStep * rank);
 };
--- a/src/decisions/computeSlotDue/test.ts
+++ b/src/decisions/computeSlotDue/test.ts
@@ -16,6 +16,14 @@
     });
 });
 
+describe("computeSlotDue at a deep service with some requests of callers", () => {
+    it("puts them before the calls for requests of their own rank", () => {
+        const direct = computeSlotDue({ nested: false, rank: 2, targetLatencyMs: 250 }, 0.11);
+        expect(direct).toBeLessThan(computeSlotDue({ nested: true, rank: 2, targetLatencyMs }, 0.11) / 2);
+        expect(direct).toBeGreaterThan(computeSlotDue({ nested: true, rank: 0, targetLatencyMs }, 0.11));
+    });
+});
+
 describe("computeSlotDue at a service that callers use themselves", () => {
     it("puts calls first, then requests of callers by rank", () => {
         const nested = computeSlotDue({ nested: true, rank: 0, targetLatencyMs: 1_200 }, 0.8);
--- a/src/decisions/updateEntryShare/index.ts
+++ b/src/decisions/updateEntryShare/index.ts
@@ -3,12 +3,14 @@
     readonly answers: number;
     /** Sum of the congestion that the answers reported, each 0 to 1. */
     readonly congestion: number;
+    /** Length of the span from which they come, in windows of 100 ms. */
+    readonly windows: number;
 }
 
 /** Share of the way to zero that a window of full congestion takes. */
 const decrease = 0.1;
-/** Growth of the share in a window without congestion. */
-const increase = 0.012;
+/** Growth of the share in a window without congestion: from the smallest share to all within two seconds. */
+const increase = 0.06;
 /** No route is shut out: what is let in shows when there is room again. */
 const smallestShare = 0.1;
 /** Congestion up to which only less important routes give way. */
@@ -30,6 +32,8 @@
 export const updateEntryShare = (share: number, readings: CongestionReadings, rank: number): number => {
     const congestion = readings.answers === 0 ? 0 : readings.congestion / readings.answers;
     const giveWay = computeGiveWay(congestion, rank);
-    const next = giveWay > 0 ? share * (1 - decrease * giveWay) : share + increase;
+    const next = giveWay > 0
+        ? share * (1 - decrease * giveWay) ** readings.windows
+        : share + increase * readings.windows;
     return Math.min(1, Math.max(smallestShare, next));
 };
--- a/src/decisions/updateEntryShare/test.ts
+++ b/src/decisions/updateEntryShare/test.ts
@@ -2,7 +2,7 @@
 
 const runWindows = (count: number, share: number, congestion: number, rank: number): number =>
     Array.from({ length: count }).reduce<number>(
-        current => updateEntryShare(current, { answers: 10, congestion: 10 * congestion }, rank),
+        current => updateEntryShare(current, { answers: 10, congestion: 10 * congestion, windows: 1 }, rank),
         share,
     );
 
@@ -20,6 +20,11 @@
         expect(runWindows(1_000, 1, 1, 2)).toBe(0.1);
     });
 
+    it("counts a long span as the windows that it consists of", () => {
+        const long = updateEntryShare(1, { answers: 1, congestion: 1, windows: 5 }, 2);
+        expect(long).toBeCloseTo(runWindows(5, 1, 1, 2));
+    });
+
     it("returns to letting everything in within ten seconds of the last congestion", () => {
         expect(runWindows(100, 0.1, 0, 2)).toBe(1);
     });
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -42,7 +42,7 @@
             settle: result => {
                 this.inFlight -= 1;
                 this.writeFailure(order, result);
-                owner.settle(result, this.parts.createReport(order, served.describeBelow()));
+                owner.settle(result, this.parts.createReport(order, served.describeMet()));
             },
         };
         const served = new ServedHop(order, counting, this.parts);
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -1,4 +1,5 @@
 /** One request at the local upstream: its slot, its attempt, its answer. */
+import { computeCongestion } from "../../decisions/computeCongestion";
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
 import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
@@ -60,6 +61,8 @@
     private settled = false;
     private active: ActiveRequest | undefined;
     private grant: SlotGrant | undefined;
+    private appliedAtMs = 0;
+    private waitedMs = 0;
 
     constructor(
         private readonly order: HopOrder,
@@ -83,13 +86,18 @@
             this.settle({ kind: "not-run", reason: "quarantined" });
             return;
         }
+        this.appliedAtMs = this.parts.readNowMs();
         this.withdraw = this.parts.slots.apply(this);
     }
 
-    /** Describes what the calls of the request have met. */
-    describeBelow(): CallFigures {
-        const { active } = this;
-        return active ? { congestion: computeCallCongestion(active), calls: active.allCalls } : noCalls;
+    /** Describes what the request has met: its own wait for a slot, and what its calls have met. */
+    describeMet(): CallFigures {
+        const { active, waitedMs } = this;
+        const waiting = computeCongestion(waitedMs, this.targetLatencyMs);
+        if (!active) {
+            return { congestion: waiting, calls: 0 };
+        }
+        return { congestion: Math.max(waiting, computeCallCongestion(active)), calls: active.allCalls };
     }
 
     /**
@@ -116,6 +124,7 @@
 
     run(grant: SlotGrant): void {
         this.grant = grant;
+        this.waitedMs = grant.startedAtMs - this.appliedAtMs;
         const isLeaving = this.parts.isLeaving();
         if (isLeaving || this.computeRemainingMs() < minAttemptMs) {
             this.releaseSlot(false);
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -78,11 +78,8 @@
         this.upstreamLeaving = new UpstreamLeaving(readNowMs);
         this.slots = new SlotQueue(this.wheel, readNowMs);
         this.upstream = new ConnectionPool(settings.upstream, { readNowMs });
-        this.metrics = new RelayMetrics(() => ({
-            ...this.slots.readFigures(),
-            version: this.routing.version,
-            upstreams: this.directory.list().length,
-        }));
+        const readBeliefs = () => ({ version: this.routing.version, upstreams: this.directory.list().length });
+        this.metrics = new RelayMetrics(() => ({ ...this.slots.readFigures(), ...readBeliefs() }));
         this.pauseGuard = new PauseGuard(
             clock,
             pauseMs => this.log.writeAlways("process-paused", { pauseMs: Math.round(pauseMs) }),
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -4,8 +4,10 @@
 
 /** Window of the entry shares, in milliseconds. */
 const shareWindowMs = 100;
-/** Windows without requests that count towards the growth of a share. */
-const maxIdleWindows = 10;
+/** Without an answer, nothing is known of the congestion; after this time, a share grows nevertheless, in milliseconds. */
+const silentWindowMs = 1_000;
+/** Windows that one update stands for at most; fewer when a share shrinks on the word of fewer answers. */
+const maxWindows = 10;
 /** Weight of one report in the congestion of a kind of call. */
 const congestionWeight = 0.1;
 /** Time in which congestion that nothing more is heard of fades, in milliseconds. */
@@ -95,15 +97,15 @@
         const state = this.entries.get(route)
             ?? { share: 1, credit: 1, answers: 0, congestion: 0, windowStartMs: nowMs };
         this.entries.set(route, state);
-        const windows = Math.floor((nowMs - state.windowStartMs) / shareWindowMs);
-        if (windows === 0) {
+        const elapsedMs = nowMs - state.windowStartMs;
+        const isOver = state.answers > 0 ? elapsedMs >= shareWindowMs : elapsedMs >= silentWindowMs;
+        if (!isOver) {
             return state;
         }
-        const readings = { answers: state.answers, congestion: state.congestion };
-        state.share = updateEntryShare(state.share, readings, rank);
-        for (let idle = 1; idle < Math.min(windows, maxIdleWindows); idle += 1) {
-            state.share = updateEntryShare(state.share, { answers: 0, congestion: 0 }, rank);
-        }
+        const { answers, congestion } = state;
+        const elapsed = Math.min(maxWindows, elapsedMs / shareWindowMs);
+        const windows = congestion > 0 ? Math.min(elapsed, answers) : elapsed;
+        state.share = updateEntryShare(state.share, { answers, congestion, windows }, rank);
         state.answers = 0;
         state.congestion = 0;
         state.windowStartMs = nowMs;
--- /dev/null
+++ b/src/testing/createBargeFleet.ts
@@ -0,0 +1,71 @@
+import { type Route } from "../routing/types";
+import { createRoute } from "./createRoute";
+import { VirtualClock } from "./virtualClock";
+import { type CallerClass, VirtualRelayCallers } from "./virtualRelayCallers";
+import { VirtualRelayFleet } from "./virtualRelayFleet";
+
+const createNamed = (name: string, changes: Partial<Route>): Route =>
+    createRoute({ name, prefix: `/${name}/`, ...changes });
+
+/** Routes of a small barge scheduling graph, in which lookups and bookings lead to many reads of one deep service. */
+export const bargeRoutes = {
+    lookup: createNamed("lookup", {
+        targetLatencyMs: 1_200,
+        timeoutMs: 2_500,
+        targets: [{ service: "desk", weight: 1 }],
+    }),
+    booking: createNamed("booking", {
+        targetLatencyMs: 1_500,
+        timeoutMs: 2_500,
+        idempotent: false,
+        rank: 0,
+        maxUpstreams: 1,
+        targets: [{ service: "book", weight: 1 }],
+    }),
+    fuel: createNamed("fuel", {
+        targetLatencyMs: 250,
+        timeoutMs: 1_000,
+        idempotent: false,
+        maxUpstreams: 1,
+        targets: [{ service: "depot", weight: 1 }],
+    }),
+    audit: createNamed("audit", { targetLatencyMs: 1_000, targets: [{ service: "book", weight: 1 }] }),
+    roster: createNamed("roster", { targetLatencyMs: 800, targets: [{ service: "fleet", weight: 1 }] }),
+    stock: createNamed("stock", { targetLatencyMs: 300, timeoutMs: 700, targets: [{ service: "depot", weight: 1 }] }),
+};
+
+const { lookup, booking, fuel, audit, roster, stock } = bargeRoutes;
+
+const rosterCall = { route: roster, times: 1, deadlineMs: 2_000 };
+
+/** A tenth of the size at which it runs: the depot serves some 380 reads a second, four for each lookup or booking. */
+const services = [
+    { name: "desk", slots: 40, speeds: [1, 1, 1] },
+    { name: "book", slots: 40, speeds: [0.8, 1, 1.2] },
+    { name: "fleet", slots: 40, speeds: [0.8, 1, 1.2] },
+    { name: "depot", slots: 6, speeds: [0.8, 1, 1.2] },
+];
+
+const work = {
+    lookup: { meanMs: 90, calls: [{ route: audit, times: 1, deadlineMs: 2_500 }] },
+    booking: { meanMs: 120, calls: [rosterCall] },
+    fuel: { meanMs: 72, calls: [] },
+    audit: { meanMs: 15, calls: [rosterCall] },
+    roster: { meanMs: 15, calls: [{ route: stock, times: 4, deadlineMs: 700 }] },
+    stock: { meanMs: 22, calls: [] },
+};
+
+const classes: readonly CallerClass[] = [
+    { route: lookup, ratePerSecond: 70, deadlineMs: 5_000 },
+    { route: booking, ratePerSecond: 31, deadlineMs: 5_000 },
+    { route: fuel, ratePerSecond: 8, deadlineMs: 1_000 },
+];
+
+/** Creates the graph with its callers; `computeSurge` gives a factor on their rates at a time. */
+export const createBargeFleet = (seed: number, computeSurge: (atMs: number) => number) => {
+    const clock = new VirtualClock();
+    const fleet = new VirtualRelayFleet({ clock, seed, services, routes: Object.values(bargeRoutes), work });
+    const callers = new VirtualRelayCallers(fleet, clock, classes, computeSurge, seed);
+    callers.start();
+    return { clock, fleet, callers };
+};
--- /dev/null
+++ b/src/testing/virtualRelayFleet.ts
@@ -0,0 +1,212 @@
+/** Relay nodes with their upstreams on a virtual clock: all that decides is the product's, only the network is faked. */
+import pino from "pino";
+import { createRandom } from "../_lib/createRandom";
+import { relayTickMs } from "../constants";
+import { AnswerTimes } from "../relay/_lib/answerTimes";
+import { RepeatBudgets } from "../relay/_lib/repeatBudgets";
+import { ActiveRequests } from "../relay/activeRequests";
+import { Entry, type SendHop } from "../relay/entry";
+import { Ingress } from "../relay/ingress";
+import { noCalls } from "../relay/ingress/servedHop";
+import { DecisionLog } from "../relay/log";
+import { RelayMetrics } from "../relay/metrics";
+import { RoutingInForce } from "../relay/routing";
+import { Shedding } from "../relay/shedding";
+import { SlotQueue } from "../relay/slotQueue";
+import { type HopOrder, type HopOwner } from "../relay/types";
+import { UpstreamDirectory } from "../relay/upstreamDirectory";
+import { type Route, type UpstreamRecord } from "../routing/types";
+import { TimerWheel } from "../tasks/_lib/timerWheel";
+import { createRecord, createTable } from "./createRoute";
+import { type FakeCallRequest, FakeDispatch } from "./fakeExchange";
+import { testNames } from "./startRelayFleet";
+import { type VirtualClock } from "./virtualClock";
+import { type RouteWork, VirtualRelayUpstream } from "./virtualRelayUpstream";
+
+/** One service of the fleet. */
+export interface VirtualService {
+    readonly name: string;
+    readonly slots: number;
+    /** Factors on the time of its work, of one instance in each failure domain. */
+    readonly speeds: readonly number[];
+}
+
+/** What a fleet is made of. */
+export interface VirtualFleetOptions {
+    readonly clock: VirtualClock;
+    readonly seed: number;
+    readonly services: readonly VirtualService[];
+    readonly routes: readonly Route[];
+    /** What running a request of each route takes, by the route's name. */
+    readonly work: Readonly<Record<string, RouteWork>>;
+}
+
+const hopLatencyMs = 1;
+const localLatencyMs = 0.1;
+/** The repeat allowance of the users' deployments. */
+const repeatAllowance = { ratio: 0.2, slack: 47, windowMs: 10_000 };
+
+/** One node with its upstream. */
+class VirtualRelayNode {
+    readonly upstream: VirtualRelayUpstream;
+    private readonly entry: Entry;
+    private readonly ingress: Ingress;
+    private readonly directory: UpstreamDirectory;
+    private readonly slots: SlotQueue;
+    private readonly routing: RoutingInForce;
+    private readonly budgets: RepeatBudgets;
+
+    constructor(
+        readonly record: UpstreamRecord,
+        private readonly fleet: VirtualRelayFleet,
+        { clock, seed, routes, work }: VirtualFleetOptions,
+        speed: number,
+    ) {
+        const readNowMs = clock.readMonotonicMs;
+        const sampleRandom = createRandom(seed);
+        const wheel = new TimerWheel(clock, relayTickMs);
+        const log = new DecisionLog(pino({ level: "silent" }), readNowMs);
+        const activeRequests = new ActiveRequests(testNames.callSeparator);
+        this.upstream = new VirtualRelayUpstream(clock, {
+            slots: record.slots,
+            speed,
+            sampleRandom: createRandom(seed + 1),
+            work,
+            call: request => clock.schedule(localLatencyMs, () => this.send(request)),
+        });
+        this.slots = new SlotQueue(wheel, readNowMs);
+        this.slots.updateSlots(record.slots);
+        this.directory = new UpstreamDirectory(record.failureDomain, readNowMs);
+        this.routing = new RoutingInForce(sampleRandom, () => undefined);
+        this.routing.adopt(createTable(1, routes), "test");
+        this.budgets = new RepeatBudgets(repeatAllowance, readNowMs);
+        const shared = { names: testNames, activeRequests, log, readNowMs, readStaleMs: () => 0 };
+        this.ingress = new Ingress({
+            ...shared,
+            upstream: new FakeDispatch(
+                clock,
+                () => ({ latencyMs: localLatencyMs, cut: false, refused: false }),
+                request => this.upstream.handle(request),
+            ),
+            slots: this.slots,
+            isQuarantined: () => false,
+            onUpstreamLost: () => undefined,
+            onForeignAnswer: () => undefined,
+            onAnswered: () => undefined,
+            maxBodyBytes: () => Infinity,
+            createReport: (order, below) => this.createReport(order, below),
+            onVersionSeen: () => undefined,
+            isLeaving: () => false,
+        });
+        this.entry = new Entry({
+            ...shared,
+            readService: () => record.service,
+            routing: this.routing,
+            directory: this.directory,
+            shedding: new Shedding(readNowMs),
+            budgets: this.budgets,
+            answerTimes: new AnswerTimes(),
+            wheel,
+            metrics: new RelayMetrics(() => ({ ...this.slots.readFigures(), version: 1, upstreams: 0 })),
+            sendHop: (order, owner) => this.fleet.sendHop(order, owner, this),
+            sampleRandom,
+        });
+    }
+
+    takeRecords(records: readonly UpstreamRecord[]): void {
+        this.directory.update(records);
+        this.budgets.updateNodes(records.length);
+    }
+
+    send(request: FakeCallRequest): void {
+        this.entry.handle(request);
+    }
+
+    serve(order: HopOrder, owner: HopOwner): () => void {
+        return this.ingress.serve(order, owner);
+    }
+
+    private createReport(order: HopOrder, below: typeof noCalls): ReturnType<Ingress["parts"]["createReport"]> {
+        return {
+            ...this.slots.readFigures(),
+            congestion: Math.max(this.slots.computeCongestion(order), below.congestion),
+            calls: below.calls,
+            leaving: false,
+            version: 1,
+        };
+    }
+}
+
+/** Owns the nodes. */
+export class VirtualRelayFleet {
+    private readonly nodes: readonly VirtualRelayNode[];
+    private readonly clock: VirtualClock;
+
+    constructor(options: VirtualFleetOptions) {
+        this.clock = options.clock;
+        const places = options.services.flatMap(service =>
+            service.speeds.map((speed, domain) => ({ service, speed, failureDomain: `domain-${domain}` }))
+        );
+        this.nodes = places.map(({ service, speed, failureDomain }, index) => {
+            const { name, slots } = service;
+            const host = `10.0.0.${index}`;
+            const record = createRecord({ id: `i-${index}`, service: name, slots, host, failureDomain });
+            return new VirtualRelayNode(record, this, { ...options, seed: options.seed * 1_000 + index * 2 }, speed);
+        });
+        this.publish(this.nodes);
+    }
+
+    /** Number of nodes. */
+    get size(): number {
+        return this.nodes.length;
+    }
+
+    /** Takes the first instances of a service out of the list of all nodes, and puts others back. */
+    removeInstances(service: string, count: number): void {
+        const leaving = this.nodes.filter(({ record }) => record.service === service).slice(0, count);
+        this.publish(this.nodes.filter(node => !leaving.includes(node)));
+    }
+
+    /** Upstreams of a service. */
+    listUpstreams(service: string): readonly VirtualRelayUpstream[] {
+        return this.nodes.filter(({ record }) => record.service === service).map(({ upstream }) => upstream);
+    }
+
+    /** Sends a caller's request to the entry of a node. */
+    send(index: number, request: FakeCallRequest): void {
+        this.nodes[index % this.nodes.length]!.send(request);
+    }
+
+    /** Carries a request from one node to another. */
+    sendHop(order: HopOrder, owner: HopOwner, from: VirtualRelayNode): ReturnType<SendHop> {
+        const node = this.nodes.find(({ record }) => record.id === order.upstreamId)!;
+        if (node === from) {
+            return node.serve(order, owner);
+        }
+        let cancel: (() => void) | undefined;
+        let isEnded = false;
+        this.clock.schedule(hopLatencyMs, () => {
+            cancel = isEnded ? undefined : node.serve(order, {
+                openStream: head => owner.openStream(head),
+                settle: (result, report) =>
+                    this.clock.schedule(hopLatencyMs, () => {
+                        if (!isEnded) {
+                            isEnded = true;
+                            owner.settle(result, report);
+                        }
+                    }),
+            });
+        });
+        return cause => {
+            if (!isEnded) {
+                isEnded = true;
+                this.clock.schedule(hopLatencyMs, () => cancel?.());
+                owner.settle({ kind: "may-have-run", cause }, undefined);
+            }
+        };
+    }
+
+    private publish(nodes: readonly VirtualRelayNode[]): void {
+        this.nodes.forEach(node => node.takeRecords(nodes.map(({ record }) => record)));
+    }
+}
--- /dev/null
+++ b/src/testing/virtualRelayUpstream.ts
@@ -0,0 +1,154 @@
+/** An upstream of a virtual relay fleet: it works, and then makes its calls through its node. */
+import { type Route } from "../routing/types";
+import { findRequestHeader } from "../tasks/_lib/callRequest";
+import { CollectingSink, FakeCallRequest, type ReceivedAnswer } from "./fakeExchange";
+import { testNames } from "./startRelayFleet";
+import { type VirtualClock } from "./virtualClock";
+
+/** A call that requests of a route make, a number of times in a row. */
+export interface RouteCall {
+    readonly route: Route;
+    readonly times: number;
+    readonly deadlineMs: number;
+}
+
+/** What running a request of a route takes. */
+export interface RouteWork {
+    readonly meanMs: number;
+    readonly calls: readonly RouteCall[];
+    /** Whether all calls are made at once rather than one after the other. */
+    readonly together?: boolean;
+}
+
+/** What an upstream is made of. */
+export interface VirtualRelayUpstreamOptions {
+    readonly slots: number;
+    /** Factor on the time of the work. */
+    readonly speed: number;
+    readonly sampleRandom: () => number;
+    /** By the name of the route, which is the first part of the path. */
+    readonly work: Readonly<Record<string, RouteWork>>;
+    /** Hands a call to the node. */
+    readonly call: (request: FakeCallRequest) => void;
+}
+
+interface Run {
+    readonly request: FakeCallRequest;
+    readonly id: string;
+    readonly endsAtMs: number;
+    /** Calls that are still to be made. */
+    readonly calls: RouteCall[];
+    readonly together: boolean;
+    made: number;
+    answered: number;
+    isEnded: boolean;
+    readonly open: Set<FakeCallRequest>;
+}
+
+const fullShare = 0.95;
+const fullFactor = 1.3;
+const ok = 200;
+const firstServerError = 500;
+const gatewayTimeout = 504;
+
+/** Owns the runs. */
+export class VirtualRelayUpstream {
+    private running = 0;
+    private workFactor = 1;
+
+    constructor(private readonly clock: VirtualClock, private readonly options: VirtualRelayUpstreamOptions) {}
+
+    /** Changes how long the work takes. */
+    updateWorkFactor(factor: number): void {
+        this.workFactor = factor;
+    }
+
+    /** Handles a request of the node beside it. */
+    handle(request: FakeCallRequest): void {
+        const work = this.options.work[request.url.split("/")[1]!]!;
+        const remainingMs = Number(findRequestHeader(request, testNames.deadline));
+        const run: Run = {
+            request,
+            id: findRequestHeader(request, testNames.requestId)!,
+            endsAtMs: this.clock.readMonotonicMs() + remainingMs,
+            calls: work.calls.flatMap(call => Array.from({ length: call.times }, () => call)),
+            together: work.together ?? false,
+            made: 0,
+            answered: 0,
+            isEnded: false,
+            open: new Set(),
+        };
+        this.running += 1;
+        request.onEarlyClose(() => {
+            this.end(run, undefined);
+        });
+        this.clock.schedule(remainingMs, () => this.end(run, gatewayTimeout));
+        this.clock.schedule(this.sampleWorkMs(work.meanMs), () => this.runNext(run));
+    }
+
+    /** Most runs take about the mean, some several times as long. */
+    private sampleWorkMs(meanMs: number): number {
+        const { slots, speed, sampleRandom } = this.options;
+        const crowding = this.running > slots * fullShare ? fullFactor : 1;
+        return meanMs * speed * this.workFactor * crowding * (0.5 - Math.log(1 - sampleRandom()) / 2);
+    }
+
+    private runNext(run: Run): void {
+        if (run.isEnded || run.answered === run.calls.length) {
+            this.end(run, ok);
+            return;
+        }
+        do {
+            this.call(run, run.calls[run.made]!);
+        }
+        while (run.together && run.made < run.calls.length);
+    }
+
+    private call(run: Run, { route, deadlineMs }: RouteCall): void {
+        run.made += 1;
+        const id = `${run.id}${testNames.callSeparator}${run.made}`;
+        const leftMs = Math.min(deadlineMs, run.endsAtMs - this.clock.readMonotonicMs());
+        const request: FakeCallRequest = createEntryRequest(route, id, leftMs, answer => {
+            run.open.delete(request);
+            run.answered += 1;
+            if (answer.head?.status !== ok) {
+                this.end(run, firstServerError);
+                return;
+            }
+            if (!run.together || run.answered === run.calls.length) {
+                this.runNext(run);
+            }
+        });
+        run.open.add(request);
+        this.options.call(request);
+    }
+
+    private end(run: Run, status: number | undefined): void {
+        if (run.isEnded) {
+            return;
+        }
+        run.isEnded = true;
+        this.running -= 1;
+        run.open.forEach(request => request.close());
+        if (status === undefined) {
+            return;
+        }
+        run.request.sink.start({ status, rawHeaders: [testNames.requestId, run.id] });
+        run.request.sink.end();
+    }
+}
+
+/** Creates a request for the entry of a node. */
+export const createEntryRequest = (
+    route: Route,
+    id: string,
+    deadlineMs: number,
+    finish: (answer: ReceivedAnswer) => void,
+): FakeCallRequest =>
+    new FakeCallRequest(
+        route.idempotent ? "GET" : "POST",
+        `${route.prefix}${id}`,
+        ["host", route.host, testNames.requestId, id, testNames.deadline, String(Math.floor(deadlineMs))],
+        undefined,
+        new CollectingSink(finish),
+    );
