--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -9,7 +9,7 @@
 import { type ActiveRequest } from "../activeRequests";
 import { sendAnswer } from "../ingress";
 import { type LogFields } from "../log";
-import { type EntryParts } from "./index";
+import { type EntryCallParts } from "./index";
 import {
     describeBody,
     describeDeadline,
@@ -40,7 +40,7 @@
 
     constructor(
         private readonly request: CallRequest,
-        private readonly parts: EntryParts,
+        private readonly parts: EntryCallParts,
         private readonly onSettled: () => void,
     ) {
         this.startedAtMs = parts.readNowMs();
@@ -128,13 +128,10 @@
     }
 
     private send(body: RequestBody): void {
-        const { names, routing, readService } = this.parts;
+        const { headersSetAnew, routing, readService } = this.parts;
         const route = this.route!;
         const service = routing.takeService(route);
-        const rawHeaders = removeHeaders(
-            createForwardHeaders(this.request, body, true),
-            [names.deadline, names.target, names.callerService],
-        );
+        const rawHeaders = createForwardHeaders(this.request, body, headersSetAnew);
         const { parent, startedAtMs } = this;
         const request = {
             requestId: this.requestId,
@@ -199,14 +196,3 @@
         this.onSettled();
     }
 }
-
-/** Removes headers that the next hop sets itself, whatever the sender has put into them. */
-const removeHeaders = (rawHeaders: readonly string[], names: readonly string[]): readonly string[] => {
-    const kept: string[] = [];
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-        if (!names.includes(rawHeaders[index]!.toLowerCase())) {
-            kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
-        }
-    }
-    return kept;
-};
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -1,5 +1,6 @@
 /** Takes requests of callers and of the local upstream, and sees each to its final answer. */
 import { type CallRequest } from "../../tasks/_lib/callRequest";
+import { requestHeadersSetAnewByRelay } from "../../tasks/_lib/headers";
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
 import { type AnswerTimes } from "../_lib/answerTimes";
 import { type RepeatBudgets } from "../_lib/repeatBudgets";
@@ -40,11 +41,23 @@
     readonly sampleRandom: () => number;
 }
 
+/** What one request works with. */
+export interface EntryCallParts extends EntryParts {
+    /** Headers that the next hop sets itself, whatever the sender has put into them. */
+    readonly headersSetAnew: ReadonlySet<string>;
+}
+
 /** Owns the requests that have no final answer yet. */
 export class Entry {
     private inFlight = 0;
 
-    constructor(private readonly parts: EntryParts) {}
+    private readonly parts: EntryCallParts;
+
+    constructor(parts: EntryParts) {
+        const { deadline, target, callerService } = parts.names;
+        const own = [deadline, target, callerService];
+        this.parts = { ...parts, headersSetAnew: new Set([...requestHeadersSetAnewByRelay, ...own]) };
+    }
 
     /** Number of requests without their final answer. */
     get pending(): number {
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -1,7 +1,7 @@
 /** Serves requests of other nodes, and of this node's own entry, at the local upstream. */
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
-import { findHeader, isBodiless } from "../../tasks/_lib/headers";
+import { findHeader, isBodiless, requestHeadersSetAnewByRelay } from "../../tasks/_lib/headers";
 import { deriveOutcome, encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
 import { type DecisionLog } from "../log";
 import { type HopOrder, type HopOwner, type HopResult, type LoadReport } from "../types";
@@ -104,7 +104,7 @@
                 requestId: findHeader(request.rawHeaders, this.parts.names.requestId) ?? "",
                 method: request.method,
                 path: request.url,
-                rawHeaders: createForwardHeaders(request, result.body, true),
+                rawHeaders: createForwardHeaders(request, result.body, requestHeadersSetAnewByRelay),
                 body: result.body,
                 deadlineAtMs,
             };
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -2,7 +2,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { maxReplayBodyBytes } from "../../constants";
 import { type AnswerSink, ResponseSink } from "./answerSink";
-import { findHeader, requestHeadersSetAnew, requestHeadersSetAnewByRelay, stripHeaders } from "./headers";
+import { findHeader, requestHeadersSetAnew, stripHeaders } from "./headers";
 import { type BodyOptions, type BodyResult, readBody, type RequestBody } from "./readBody";
 
 /** A request with the place where its answer goes. */
@@ -24,9 +24,12 @@
 export const findRequestHeader = (request: CallRequest, name: string): string | undefined =>
     findHeader(request.rawHeaders, name);
 
-/** Creates the headers that go on with a request; a streamed body keeps its stated length. */
-export const createForwardHeaders = (request: CallRequest, body: RequestBody, keepsHost = false): string[] => {
-    const setAnew = keepsHost ? requestHeadersSetAnewByRelay : requestHeadersSetAnew;
+/** Creates the headers that go on with a request, without those `setAnew`; a streamed body keeps its stated length. */
+export const createForwardHeaders = (
+    request: CallRequest,
+    body: RequestBody,
+    setAnew: ReadonlySet<string> = requestHeadersSetAnew,
+): string[] => {
     const rawHeaders = stripHeaders(request.rawHeaders, setAnew);
     const length = findRequestHeader(request, "content-length");
     if (length !== undefined && body !== undefined && !Buffer.isBuffer(body)) {
--- a/src/testing/virtualRelayUpstream.ts
+++ b/src/testing/virtualRelayUpstream.ts
@@ -49,12 +49,14 @@
 const fullFactor = 1.3;
 const ok = 200;
 const firstServerError = 500;
+const unavailable = 503;
 const gatewayTimeout = 504;
 
 /** Owns the runs. */
 export class VirtualRelayUpstream {
     private running = 0;
     private workFactor = 1;
+    private rejectedShare = 0;
 
     constructor(private readonly clock: VirtualClock, private readonly options: VirtualRelayUpstreamOptions) {}
 
@@ -63,8 +65,18 @@
         this.workFactor = factor;
     }
 
+    /** Makes the upstream reject a share of all requests without running them, while it works well otherwise. */
+    updateRejectedShare(share: number): void {
+        this.rejectedShare = share;
+    }
+
     /** Handles a request of the node beside it. */
     handle(request: FakeCallRequest): void {
+        if (this.options.sampleRandom() < this.rejectedShare) {
+            request.sink.start({ status: unavailable, rawHeaders: [testNames.notRun, "1"] });
+            request.sink.end();
+            return;
+        }
         const work = this.options.work[request.url.split("/")[1]!]!;
         const remainingMs = Number(findRequestHeader(request, testNames.deadline));
         const run: Run = {
