--- a/src/testing/virtualRelayUpstream.ts
+++ b/src/testing/virtualRelayUpstream.ts
@@ -72,7 +72,7 @@
 
     /** Handles a request of the node beside it. */
     handle(request: FakeCallRequest): void {
-        if (this.options.sampleRandom() < this.rejectedShare) {
+        if (this.rejectedShare > 0 && this.options.sampleRandom() < this.rejectedShare) {
             request.sink.start({ status: unavailable, rawHeaders: [testNames.notRun, "1"] });
             request.sink.end();
             return;
