Refuse late requests that a stopping node could not see through

The callers of that machine go on sending while fewer than half of the zone's nodes are in. Ruled out: an answer of our own in its place (counts the same), a smaller margin before the kill (0.38 s were left; the tail of this route is 3.3 s). Change: once callers have had the time to learn that the node leaves, a caller's request whose deadline lies beyond the end of the process is refused with 503 and Connection: close at once; shorter ones and calls of the local upstream go on. Tests: stopping.test.ts, and one over sockets that got 200 for a request whose deadline the process could not see.

--- a/src/relay/awaitDrained.ts
+++ b/src/relay/awaitDrained.ts
@@ -16,7 +16,7 @@
 /** Quiet at the entry that shows that the callers have gone, in milliseconds. */
 const quietMs = 300;
 /** Time that closing takes before the process is killed, in milliseconds; listeners take `closeGraceMs` of it. */
-const marginMs = 900;
+export const stopMarginMs = 900;
 const pollMs = 20;
 
 /** Resolves when the callers have gone and all requests have their answers, or shortly before the kill. */
@@ -24,7 +24,7 @@
     const startMs = parts.readNowMs();
     const isOver = (): boolean => {
         const nowMs = parts.readNowMs();
-        if (nowMs - startMs > parts.graceMs - marginMs) {
+        if (nowMs - startMs > parts.graceMs - stopMarginMs) {
             return true;
         }
         const isQuiet = nowMs - parts.readLastEntryMs() > quietMs;
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -17,6 +17,7 @@
     describeNoUpstream,
     describeShed,
     describeUnknownRoute,
+    leavingProblem,
     noRoutingProblem,
 } from "./problems";
 import { Sending, type SendingEnd, type SendingOwner } from "./sending";
@@ -103,7 +104,7 @@
 
     /** Finds the reason for which the request is refused before it is read; sets its deadline. */
     private findRefusal(host: string): Problem | undefined {
-        const { routing, shedding, readStaleMs, sampleRandom } = this.parts;
+        const { routing, shedding, readStaleMs, computeTimeLeftMs, sampleRandom } = this.parts;
         const { route } = this;
         if (!routing.table) {
             return noRoutingProblem;
@@ -115,6 +116,9 @@
         if (this.deadlineAtMs <= this.startedAtMs) {
             return describeDeadline(false);
         }
+        if (!this.parent && this.deadlineAtMs - this.startedAtMs > computeTimeLeftMs()) {
+            return leavingProblem;
+        }
         if (this.parent || shedding.tryAdmit(route.name, route.rank, host + this.request.url)) {
             return undefined;
         }
@@ -179,7 +183,8 @@
             this.parts.shedding.recordCall(this.route?.name ?? "", 1);
         }
         const { request } = this;
-        sendProblem(request.sink, problem, request.hasUnreadBody() ? ["Connection", "close"] : []);
+        const isClosing = problem.reason === "leaving" || request.hasUnreadBody();
+        sendProblem(request.sink, problem, isClosing ? ["Connection", "close"] : []);
         this.writeLog("request-refused", {
             status: problem.status,
             reason: problem.reason,
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -37,6 +37,8 @@
     readonly readNowMs: () => number;
     /** Time by which a request that is read now may be older than it says, in milliseconds. */
     readonly readStaleMs: () => number;
+    /** Time that a request of a caller which begins now may take before the process ends, in milliseconds. */
+    readonly computeTimeLeftMs: () => number;
     /** Draws a number in [0, 1). */
     readonly sampleRandom: () => number;
 }
--- a/src/relay/entry/problems.ts
+++ b/src/relay/entry/problems.ts
@@ -17,6 +17,15 @@
     retryAfterSeconds: 0.5,
 };
 
+/** The answer of a node that would end before the request might. */
+export const leavingProblem: Problem = {
+    status: 503,
+    reason: "leaving",
+    outcome: "not-run",
+    detail: "the node ends before the request might",
+    retryAfterSeconds: 0.5,
+};
+
 /** Describes a request that no route takes. */
 export const describeUnknownRoute = (host: string, version: number): Problem => ({
     status: 404,
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -29,6 +29,7 @@
 import { Shedding } from "./shedding";
 import { SlotQueue } from "./slotQueue";
 import { type FleetSource } from "./source";
+import { Stopping } from "./stopping";
 import { type HeaderNames, type HopOrder, type LoadReport, type RelaySettings } from "./types";
 import { UpstreamDirectory } from "./upstreamDirectory";
 import { UpstreamLeaving } from "./upstreamLeaving";
@@ -55,7 +56,7 @@
     private listeners: RelayListeners | undefined;
     private readonly upstreamLeaving: UpstreamLeaving;
     private hasRecords = false;
-    private stoppingSinceMs: number | undefined;
+    private readonly stopping: Stopping;
     private lastEntryMs = 0;
 
     constructor(
@@ -76,6 +77,7 @@
         this.activeRequests = new ActiveRequests(names.callSeparator);
         this.budgets = new RepeatBudgets({ ratio, slack, windowMs }, readNowMs);
         this.upstreamLeaving = new UpstreamLeaving(readNowMs);
+        this.stopping = new Stopping(() => this.settings, readNowMs);
         this.slots = new SlotQueue(this.wheel, readNowMs);
         this.upstream = new ConnectionPool(settings.upstream, { readNowMs });
         const readBeliefs = () => ({ version: this.routing.version, upstreams: this.directory.list().length });
@@ -102,7 +104,7 @@
                 this.ingress.handle(new HttpCallRequest(request, response), request.socket.remoteAddress ?? ""),
             onAdmin: createAdminHandler({
                 readinessPath: this.settings.readinessPath,
-                isReady: () => this.stoppingSinceMs === undefined && this.routing.table !== undefined,
+                isReady: () => !this.stopping.isBegun && this.routing.table !== undefined,
                 registry: this.metrics.registry,
             }),
             onControl: createControlHandler({
@@ -146,10 +148,9 @@
 
     /** Takes no new work for the upstream, serves callers until they have gone, and closes everything. */
     async stop(): Promise<void> {
-        if (this.stoppingSinceMs !== undefined) {
+        if (!this.stopping.tryBegin()) {
             return;
         }
-        this.stoppingSinceMs = this.clock.readMonotonicMs();
         this.log.writeAlways("stop-requested", { pending: this.entry.pending, atUpstream: this.ingress.pending });
         await awaitDrained({
             readPending: () => this.entry.pending + this.ingress.pending,
@@ -236,6 +237,7 @@
             sendHop: (order, owner) => this.sendHop(order, owner),
             readNowMs: this.clock.readMonotonicMs,
             readStaleMs: () => this.pauseGuard.readStaleMs(),
+            computeTimeLeftMs: () => this.stopping.computeTimeLeftMs(),
             sampleRandom,
         });
     }
@@ -282,7 +284,7 @@
     }
 
     private isLeaving(): boolean {
-        return this.stoppingSinceMs !== undefined || this.upstreamLeaving.isOver();
+        return this.stopping.isBegun || this.upstreamLeaving.isOver();
     }
 
     private listControlAddresses(service: string): readonly Address[] {
--- /dev/null
+++ b/src/relay/stopping.test.ts
@@ -0,0 +1,25 @@
+import { Stopping } from "./stopping";
+
+const createStopping = () => {
+    const clock = { nowMs: 1_000 };
+    const bounds = { leaveAfterMs: 2_300, stopGraceMs: 6_000 };
+    return { clock, stopping: new Stopping(() => bounds, () => clock.nowMs) };
+};
+
+describe("Stopping", () => {
+    it("leaves all time before the signal, and until callers have learned of it", () => {
+        const { clock, stopping } = createStopping();
+        expect(stopping.computeTimeLeftMs()).toBe(Infinity);
+        expect(stopping.tryBegin()).toBe(true);
+        clock.nowMs += 2_000;
+        expect(stopping.computeTimeLeftMs()).toBe(Infinity);
+    });
+
+    it("then leaves what is over before the process closes, counted from the first signal", () => {
+        const { clock, stopping } = createStopping();
+        stopping.tryBegin();
+        clock.nowMs += 4_260;
+        expect(stopping.tryBegin()).toBe(false);
+        expect(stopping.computeTimeLeftMs()).toBe(840);
+    });
+});
--- a/src/relay/test.ts
+++ b/src/relay/test.ts
@@ -238,4 +238,25 @@
         expect(first!.received.length).toBe(before);
         await stopped;
     });
+
+    it("refuses late requests of which it might not see the end, and still serves shorter ones", async () => {
+        const answerLate: UpstreamBehaviour = (request, response) => {
+            setTimeout(() => sendWholeAnswer(request, response), 700);
+        };
+        await startFleet(answerLate, answerLate);
+        const [first] = fleet.members;
+        const pending = sendToEntry(first!, { id: "early" });
+        await awaitUntil(() => countReceived() === 1);
+        const stopped = first!.node.stop();
+        await new Promise(resolve => setTimeout(resolve, 2 * first!.settings.leaveAfterMs));
+        const [long, short] = await Promise.all([
+            sendToEntry(first!, { id: "long", deadlineMs: 2_000 }),
+            sendToEntry(first!, { id: "short", deadlineMs: 1_000 }),
+        ]);
+        expect(long.status).toBe(503);
+        expect(long.headers["connection"]).toBe("close");
+        expect(short.status).toBe(200);
+        expect((await pending).status).toBe(200);
+        await stopped;
+    });
 });
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -108,6 +108,7 @@
             answerTimes: new AnswerTimes(),
             wheel,
             metrics: new RelayMetrics(() => ({ ...this.slots.readFigures(), version: 1, upstreams: 0 })),
+            computeTimeLeftMs: () => Infinity,
             sendHop: (order, owner) => this.fleet.sendHop(order, owner, this),
             sampleRandom,
         });
