Leave an upstream out for two seconds once another has its address

Ruled out: slow lists (the platform was reached 30 ms after each start). Change: moved is recorded by itself, for the time in which the list follows.

--- a/src/relay/entry/sending.ts
+++ b/src/relay/entry/sending.ts
@@ -56,7 +56,7 @@
 /** Share of the remaining time after which a second sending comes too late. */
 const latestHedgeShare = 0.6;
 const firstServerError = 500;
-const unreachableReasons: ReadonlySet<NotRunReason> = new Set(["unreachable", "down", "moved"]);
+const unreachableReasons: ReadonlySet<NotRunReason> = new Set(["unreachable", "down"]);
 
 /** Owns the attempts of one request. */
 export class Sending {
@@ -235,6 +235,9 @@
         if (result.kind === "not-run" && unreachableReasons.has(result.reason)) {
             this.parts.directory.recordFailure(upstreamId);
         }
+        if (result.kind === "not-run" && result.reason === "moved") {
+            this.parts.directory.recordMoved(upstreamId);
+        }
         if (isSuccess(result)) {
             const { name } = this.order.route;
             this.parts.answerTimes.record(name, this.parts.readNowMs() - sentAtMs);
--- a/src/relay/upstreamDirectory/index.ts
+++ b/src/relay/upstreamDirectory/index.ts
@@ -110,6 +110,11 @@
         return suspicionMs;
     }
 
+    /** Records that another upstream has the address of one; the list is behind and takes up to that long to follow. */
+    recordMoved(id: string): void {
+        this.openEvidence(id).suspectedUntilMs = this.readNowMs() + longestSuspicionMs;
+    }
+
     private isLeaving(id: string, nowMs: number): boolean {
         return (this.evidence.get(id)?.leavingUntilMs ?? 0) > nowMs;
     }
--- a/src/relay/upstreamDirectory/test.ts
+++ b/src/relay/upstreamDirectory/test.ts
@@ -68,6 +68,17 @@
         expect(directory.recordFailure("near")).toBe(200);
     });
 
+    it("suspects one whose address another has taken over, until the list has had time to follow", () => {
+        const { clock, directory } = createDirectory();
+        const isSuspected = (): boolean => directory.listCandidates("desk", [])[0]!.suspected;
+        directory.recordReport("near", createReport());
+        directory.recordMoved("near");
+        clock.nowMs += 1_900;
+        expect(isSuspected()).toBe(true);
+        clock.nowMs += 200;
+        expect(isSuspected()).toBe(false);
+    });
+
     it("finds the latest of the records at an address", () => {
         const { directory } = createDirectory();
         directory.update([createRecord({ id: "old", bornAtMs: 1 }), createRecord({ id: "new", bornAtMs: 2 })]);
