Know a poison request wherever it comes again; prove it over several nodes

Cause: the fingerprint held the service at whose node a request began, but the same request may come at any machine. Change: the fingerprint holds the host instead, which belongs to the request.

--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -1,5 +1,6 @@
 /** Keeps requests of which upstreams die from being run again and again, over all nodes of a service. */
 import { type Clock } from "../tasks/_lib/clock";
+import { findHeader } from "../tasks/_lib/headers";
 import { MessageBus } from "../tasks/messages";
 import { computeSuspectFingerprint, Quarantine } from "../tasks/quarantine";
 import { type Address } from "../types";
@@ -86,5 +87,11 @@
     }
 }
 
-const computeFingerprint = ({ callerService, method, path, body }: HopOrder): string =>
-    computeSuspectFingerprint({ caller: callerService, method, path, body: Buffer.isBuffer(body) ? body : undefined });
+/** The same request may come again at any node, so the service where it began tells nothing; its host belongs to it. */
+const computeFingerprint = ({ rawHeaders, method, path, body }: HopOrder): string =>
+    computeSuspectFingerprint({
+        caller: findHeader(rawHeaders, "host") ?? "",
+        method,
+        path,
+        body: Buffer.isBuffer(body) ? body : undefined,
+    });
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -59,6 +59,8 @@
     readonly settings: RelaySettings;
     /** Requests that the upstream has received. */
     readonly received: IncomingMessage[];
+    /** Has the upstream die: connections break off, and new ones are refused for a time in milliseconds. */
+    crash(downMs: number): void;
 }
 
 /** A fleet on loopback. */
@@ -114,6 +116,7 @@
     const [port] = await findFreePorts(portsPerNode);
     const servers: Server[] = [];
     const sockets = new Set<Socket>();
+    let isStopped = false;
     const members = await Promise.all(services.map(async ([service, behave], index): Promise<FleetMember> => {
         const host = `127.0.0.${index + 2}`;
         const received: IncomingMessage[] = [];
@@ -121,20 +124,31 @@
             received.push(request);
             behave(request, response);
         });
-        server.on("connection", socket => sockets.add(socket));
+        const own = new Set<Socket>();
+        server.on("connection", socket => {
+            sockets.add(socket);
+            own.add(socket);
+        });
         servers.push(server);
         const upstreamPort = await openServer(server, host);
+        const crash = (downMs: number): void => {
+            server.close();
+            own.forEach(socket => socket.resetAndDestroy());
+            own.clear();
+            setTimeout(() => isStopped || server.listen(upstreamPort, host), downMs);
+        };
         const settings = createSettings(host, service, upstreamPort, port!);
         const source = new FakeSource();
         const node = new RelayNode(settings, testNames, source, pino({ level: "silent" }));
         await node.start();
         const record = createRecord({ id: `i-${index}`, service, host, port: upstreamPort });
-        return { host, node, source, record, settings, received };
+        return { host, node, source, record, settings, received, crash };
     }));
     return {
         members,
         publish: table => members.forEach(({ source }) => source.publish(table, members.map(({ record }) => record))),
         stop: async () => {
+            isStopped = true;
             sockets.forEach(socket => socket.destroy());
             servers.forEach(server => server.close());
             await Promise.all(members.map(({ node }) => node.stop()));
