--- a/src/testing/createBargeFleet.ts
+++ b/src/testing/createBargeFleet.ts
@@ -1,20 +1,14 @@
-import { type Route } from "../routing/types";
-import { createRoute } from "./createRoute";
-import { VirtualClock } from "./virtualClock";
-import { type CallerClass, VirtualRelayCallers } from "./virtualRelayCallers";
-import { VirtualRelayFleet } from "./virtualRelayFleet";
-
-const createNamed = (name: string, changes: Partial<Route>): Route =>
-    createRoute({ name, prefix: `/${name}/`, ...changes });
+import { createNamedRoute, createVirtualLoad } from "./createVirtualLoad";
+import { type CallerClass } from "./virtualRelayCallers";
 
 /** Routes of a small barge scheduling graph, in which lookups and bookings lead to many reads of one deep service. */
 export const bargeRoutes = {
-    lookup: createNamed("lookup", {
+    lookup: createNamedRoute("lookup", {
         targetLatencyMs: 1_200,
         timeoutMs: 2_500,
         targets: [{ service: "desk", weight: 1 }],
     }),
-    booking: createNamed("booking", {
+    booking: createNamedRoute("booking", {
         targetLatencyMs: 1_500,
         timeoutMs: 2_500,
         idempotent: false,
@@ -22,16 +16,20 @@
         maxUpstreams: 1,
         targets: [{ service: "book", weight: 1 }],
     }),
-    fuel: createNamed("fuel", {
+    fuel: createNamedRoute("fuel", {
         targetLatencyMs: 250,
         timeoutMs: 1_000,
         idempotent: false,
         maxUpstreams: 1,
         targets: [{ service: "depot", weight: 1 }],
     }),
-    audit: createNamed("audit", { targetLatencyMs: 1_000, targets: [{ service: "book", weight: 1 }] }),
-    roster: createNamed("roster", { targetLatencyMs: 800, targets: [{ service: "fleet", weight: 1 }] }),
-    stock: createNamed("stock", { targetLatencyMs: 300, timeoutMs: 700, targets: [{ service: "depot", weight: 1 }] }),
+    audit: createNamedRoute("audit", { targetLatencyMs: 1_000, targets: [{ service: "book", weight: 1 }] }),
+    roster: createNamedRoute("roster", { targetLatencyMs: 800, targets: [{ service: "fleet", weight: 1 }] }),
+    stock: createNamedRoute("stock", {
+        targetLatencyMs: 300,
+        timeoutMs: 700,
+        targets: [{ service: "depot", weight: 1 }],
+    }),
 };
 
 const { lookup, booking, fuel, audit, roster, stock } = bargeRoutes;
@@ -61,11 +59,8 @@
     { route: fuel, ratePerSecond: 8, deadlineMs: 1_000 },
 ];
 
+const graph = { services, routes: Object.values(bargeRoutes), work, classes };
+
 /** Creates the graph with its callers; `computeSurge` gives a factor on their rates at a time. */
-export const createBargeFleet = (seed: number, computeSurge: (atMs: number) => number) => {
-    const clock = new VirtualClock();
-    const fleet = new VirtualRelayFleet({ clock, seed, services, routes: Object.values(bargeRoutes), work });
-    const callers = new VirtualRelayCallers(fleet, clock, classes, computeSurge, seed);
-    callers.start();
-    return { clock, fleet, callers };
-};
+export const createBargeFleet = (seed: number, computeSurge: (atMs: number) => number) =>
+    createVirtualLoad(graph, seed, computeSurge);
--- a/src/testing/createGridFleet.ts
+++ b/src/testing/createGridFleet.ts
@@ -1,20 +1,14 @@
-import { type Route } from "../routing/types";
-import { createRoute } from "./createRoute";
-import { VirtualClock } from "./virtualClock";
-import { type CallerClass, VirtualRelayCallers } from "./virtualRelayCallers";
-import { VirtualRelayFleet } from "./virtualRelayFleet";
-
-const createNamed = (name: string, changes: Partial<Route>): Route =>
-    createRoute({ name, prefix: `/${name}/`, ...changes });
+import { createNamedRoute, createVirtualLoad } from "./createVirtualLoad";
+import { type CallerClass } from "./virtualRelayCallers";
 
 /** Routes of a small simulation grid, in which each fetch or sweep leads to ten reads of one deep, slow service. */
 export const gridRoutes = {
-    fetch: createNamed("fetch", {
+    fetch: createNamedRoute("fetch", {
         targetLatencyMs: 2_000,
         timeoutMs: 3_000,
         targets: [{ service: "store", weight: 1 }],
     }),
-    sweep: createNamed("sweep", {
+    sweep: createNamedRoute("sweep", {
         targetLatencyMs: 2_000,
         timeoutMs: 3_000,
         idempotent: false,
@@ -22,21 +16,25 @@
         maxUpstreams: 1,
         targets: [{ service: "broker", weight: 1 }],
     }),
-    model: createNamed("model", {
+    model: createNamedRoute("model", {
         targetLatencyMs: 1_500,
         timeoutMs: 3_000,
         targets: [{ service: "library", weight: 1 }],
     }),
-    signoff: createNamed("signoff", {
+    signoff: createNamedRoute("signoff", {
         targetLatencyMs: 500,
         timeoutMs: 1_000,
         idempotent: false,
         maxUpstreams: 1,
         targets: [{ service: "ledger", weight: 1 }],
     }),
-    peek: createNamed("peek", { targetLatencyMs: 1_200, targets: [{ service: "broker", weight: 1 }] }),
-    kit: createNamed("kit", { targetLatencyMs: 1_200, targets: [{ service: "library", weight: 1 }] }),
-    wave: createNamed("wave", { targetLatencyMs: 300, timeoutMs: 700, targets: [{ service: "ledger", weight: 1 }] }),
+    peek: createNamedRoute("peek", { targetLatencyMs: 1_200, targets: [{ service: "broker", weight: 1 }] }),
+    kit: createNamedRoute("kit", { targetLatencyMs: 1_200, targets: [{ service: "library", weight: 1 }] }),
+    wave: createNamedRoute("wave", {
+        targetLatencyMs: 300,
+        timeoutMs: 700,
+        targets: [{ service: "ledger", weight: 1 }],
+    }),
 };
 
 const { fetch, sweep, model, signoff, peek, kit, wave } = gridRoutes;
@@ -66,11 +64,8 @@
     { route: signoff, ratePerSecond: 2.3, deadlineMs: 2_000 },
 ];
 
+const graph = { services, routes: Object.values(gridRoutes), work, classes };
+
 /** Creates the graph with its callers; `computeSurge` gives a factor on their rates at a time. */
-export const createGridFleet = (seed: number, computeSurge: (atMs: number) => number) => {
-    const clock = new VirtualClock();
-    const fleet = new VirtualRelayFleet({ clock, seed, services, routes: Object.values(gridRoutes), work });
-    const callers = new VirtualRelayCallers(fleet, clock, classes, computeSurge, seed);
-    callers.start();
-    return { clock, fleet, callers };
-};
+export const createGridFleet = (seed: number, computeSurge: (atMs: number) => number) =>
+    createVirtualLoad(graph, seed, computeSurge);
