One watch for gaps, one encoding of an order, one load report

PauseGuard and PauseDetector held the same ticks (now GapWatch), the HTTP hop and the links encoded an order each with the same margin, decideRepeat and Sending both knew which reasons mean that no upstream was reached, 500 and 1000 were named in several files. ServedHop kept a wait that follows from its grant. Left: the pauses between questions to a platform have different jitter in tasks/platform and platform/storeSource; one formula would change behaviour.

--- a/src/constants/index.ts
+++ b/src/constants/index.ts
@@ -1,5 +1,9 @@
 /** Named constants; each name of a quantity ends in its unit. */
 
+export const msPerSecond = 1_000;
+/** Statuses from here on say that the upstream has failed. */
+export const firstServerErrorStatus = 500;
+
 export const defaultDeadlineMs = 5_000;
 export const maxDeadlineMs = 600_000;
 export const minForwardMs = 2;
--- a/src/decisions/computeSlotDue/index.ts
+++ b/src/decisions/computeSlotDue/index.ts
@@ -20,8 +20,8 @@
  * Requests of callers at an upstream that mostly serves nested ones would starve behind them; being few, they go first.
  */
 export const computeSlotDue = ({ nested, rank, targetLatencyMs }: DueOrder, directShare: number): number => {
-    if (nested || directShare >= fewDirectShare) {
-        return (nested ? nestedShare : 1) * targetLatencyMs * (1 + rankStep * rank);
+    if (!nested && directShare < fewDirectShare) {
+        return directShare / fewDirectShare * targetLatencyMs * (1 + fewRankStep * rank);
     }
-    return directShare / fewDirectShare * targetLatencyMs * (1 + fewRankStep * rank);
+    return (nested ? nestedShare : 1) * targetLatencyMs * (1 + rankStep * rank);
 };
--- a/src/decisions/decideRepeat/index.ts
+++ b/src/decisions/decideRepeat/index.ts
@@ -1,3 +1,4 @@
+import { firstServerErrorStatus } from "../../constants";
 import { type HopResult } from "../../relay/types";
 
 /** What a repeat of a request depends on. */
@@ -26,15 +27,15 @@
 
 /** Nodes that may refuse one request before the caller is told so. */
 const maxRefusals = 3;
-const firstServerError = 500;
 
-const isUnreached = (result: HopResult): boolean =>
+/** Whether a request has come to no upstream, so that sending it elsewhere repeats nothing. */
+export const isUnreached = (result: HopResult): boolean =>
     result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved";
 
 /** Decides what follows an attempt: a request is sent again only when that can neither run it twice nor be in vain. */
 export const decideRepeat = (input: RepeatInput): RepeatDecision => {
     const { result, idempotent, upstreamsTried, maxUpstreams, refusals, remainingMs, expectedMs } = input;
-    if (result.kind === "answered" && (result.head.status < firstServerError || result.refusedBelow)) {
+    if (result.kind === "answered" && (result.head.status < firstServerErrorStatus || result.refusedBelow)) {
         return "give-up";
     }
     if (result.kind === "not-run" && (result.reason === "expired" || result.reason === "quarantined")) {
--- a/src/decisions/deriveOutcome/index.ts
+++ b/src/decisions/deriveOutcome/index.ts
@@ -1,3 +1,4 @@
+import { firstServerErrorStatus } from "../../constants";
 import { type Outcome } from "../../types";
 
 /** What is known of an upstream's answer. */
@@ -9,8 +10,6 @@
     readonly notRunStatuses: readonly number[];
 }
 
-const firstServerErrorStatus = 500;
-
 /** Derives the outcome of a request from its upstream's whole answer. */
 export const deriveOutcome = (answer: UpstreamAnswer): Outcome => {
     if (answer.stated === "not-run" || answer.notRunStatuses.includes(answer.status)) {
--- a/src/relay/entry/problems.ts
+++ b/src/relay/entry/problems.ts
@@ -1,9 +1,9 @@
 /** Answers of the entry's own. */
+import { msPerSecond } from "../../constants";
 import { computeReturnDelay } from "../../decisions/computeReturnDelay";
 import { type Problem } from "../../tasks/_lib/problem";
 import { type HopResult } from "../types";
 
-const msPerSecond = 1_000;
 const decimals = 2;
 
 const formatSeconds = (delayMs: number): number => Number((delayMs / msPerSecond).toFixed(decimals));
--- a/src/relay/entry/sending.ts
+++ b/src/relay/entry/sending.ts
@@ -1,6 +1,7 @@
 /** Sends one request to upstreams until one of them has answered it or nothing more may be tried. */
+import { firstServerErrorStatus } from "../../constants";
 import { chooseUpstream } from "../../decisions/chooseUpstream";
-import { decideRepeat } from "../../decisions/decideRepeat";
+import { decideRepeat, isUnreached } from "../../decisions/decideRepeat";
 import { type Route } from "../../routing/types";
 import { type AnswerHead, type AnswerSink, DiscardingSink } from "../../tasks/_lib/answerSink";
 import { type Timeout } from "../../tasks/_lib/timerWheel";
@@ -55,8 +56,6 @@
 const minRepeatMs = 30;
 /** Share of the remaining time after which a second sending comes too late. */
 const latestHedgeShare = 0.6;
-const firstServerError = 500;
-const unreachableReasons: ReadonlySet<NotRunReason> = new Set(["unreachable", "down"]);
 
 /** Owns the attempts of one request. */
 export class Sending {
@@ -230,13 +229,9 @@
     }
 
     private recordResult({ upstreamId, sentAtMs }: ActiveHop, result: HopResult, report: LoadReport | undefined): void {
-        const isUnreached = result.kind === "not-run" && result.reason !== "rejected" && result.reason !== "moved";
-        (isUnreached ? this.refusing : this.offered).push(upstreamId);
-        if (result.kind === "not-run" && unreachableReasons.has(result.reason)) {
-            this.parts.directory.recordFailure(upstreamId);
-        }
-        if (result.kind === "not-run" && result.reason === "moved") {
-            this.parts.directory.recordMoved(upstreamId);
+        (isUnreached(result) ? this.refusing : this.offered).push(upstreamId);
+        if (result.kind === "not-run") {
+            this.recordNotRun(upstreamId, result.reason);
         }
         if (isSuccess(result)) {
             const { name } = this.order.route;
@@ -248,6 +243,16 @@
         this.mayHaveRun ||= result.kind !== "not-run";
         this.fallback = result.kind === "answered" ? result : this.fallback;
     }
+
+    private recordNotRun(upstreamId: string, reason: NotRunReason): void {
+        if (reason === "moved") {
+            this.parts.directory.recordMoved(upstreamId);
+        }
+        if (reason === "unreachable" || reason === "down") {
+            this.parts.directory.recordFailure(upstreamId);
+        }
+    }
 }
 
-const isSuccess = (result: HopResult): boolean => result.kind === "answered" && result.head.status < firstServerError;
+const isSuccess = (result: HopResult): boolean =>
+    result.kind === "answered" && result.head.status < firstServerErrorStatus;
--- a/src/relay/hop/remoteHop.ts
+++ b/src/relay/hop/remoteHop.ts
@@ -4,19 +4,15 @@
 import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
 import { AnswerBuffer } from "../_lib/answerBuffer";
 import { type HopOrder, type HopOwner, type HopResult } from "../types";
-import { encodeHopRequest, type HopAnswerFields, hopHeader, parseHopAnswer } from "./headers";
+import { type HopAnswerFields, hopHeader, parseHopAnswer } from "./headers";
 
 /** What a remote hop works with. */
 export interface RemoteHopParts {
     readonly pool: Dispatch;
-    readonly readNowMs: () => number;
-    /** Version of the routing table in force here. */
-    readonly readVersion: () => number;
+    /** Encodes what goes with a request. */
+    readonly encodeOrder: (order: HopOrder) => string;
 }
 
-/** Time by which the other node has to be done earlier, in milliseconds: the way back of its last word. */
-export const hopMarginMs = 3;
-
 /** Owns one request at one other node. */
 export class RemoteHop implements AttemptOwner {
     private readonly attempt: Attempt;
@@ -35,9 +31,7 @@
 
     start(): void {
         const { order, parts } = this;
-        const version = parts.readVersion();
-        const remainingMs = order.deadlineAtMs - parts.readNowMs() - hopMarginMs;
-        const rawHeaders = [...order.rawHeaders, hopHeader, encodeHopRequest({ ...order, remainingMs, version })];
+        const rawHeaders = [...order.rawHeaders, hopHeader, parts.encodeOrder(order)];
         const { method, path, body, idempotent } = order;
         sendAttempt(parts.pool, { method, path, rawHeaders, body, idempotent }, this.attempt);
     }
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -11,8 +11,8 @@
 export interface IngressParts extends ServedHopParts {
     readonly log: DecisionLog;
     readonly maxBodyBytes: () => number;
-    /** Computes what the sender of a request is told, with what the request's own calls have met. */
-    readonly createReport: (order: HopOrder, below: CallFigures) => LoadReport;
+    /** Creates what the sender of a request is told, with what the request itself has met. */
+    readonly createReport: (order: HopOrder, met: CallFigures) => LoadReport;
     /** Told which routing version a node at a host has in force. */
     readonly onVersionSeen: (host: string, version: number) => void;
     /** Time by which a request that is read now may be older than it says, in milliseconds. */
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -1,4 +1,5 @@
 /** One request at the local upstream: its slot, its attempt, its answer. */
+import { firstServerErrorStatus } from "../../constants";
 import { computeCongestion } from "../../decisions/computeCongestion";
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptOwner, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
@@ -43,7 +44,6 @@
 /** Time that the upstream's last word needs to get back, in milliseconds. */
 const answerMarginMs = 5;
 const misdirectedStatus = 421;
-const firstServerError = 500;
 const plainEncodings: ReadonlySet<string> = new Set(["", "identity"]);
 
 /** Owns the state of one request at the local upstream. */
@@ -62,7 +62,6 @@
     private active: ActiveRequest | undefined;
     private grant: SlotGrant | undefined;
     private appliedAtMs = 0;
-    private waitedMs = 0;
 
     constructor(
         private readonly order: HopOrder,
@@ -92,8 +91,8 @@
 
     /** Describes what the request has met: its own wait for a slot, and what its calls have met. */
     describeMet(): CallFigures {
-        const { active, waitedMs } = this;
-        const waiting = computeCongestion(waitedMs, this.targetLatencyMs);
+        const { active, grant } = this;
+        const waiting = grant ? computeCongestion(grant.startedAtMs - this.appliedAtMs, this.targetLatencyMs) : 0;
         if (!active) {
             return { congestion: waiting, calls: 0 };
         }
@@ -124,7 +123,6 @@
 
     run(grant: SlotGrant): void {
         this.grant = grant;
-        this.waitedMs = grant.startedAtMs - this.appliedAtMs;
         const isLeaving = this.parts.isLeaving();
         if (isLeaving || this.computeRemainingMs() < minAttemptMs) {
             this.releaseSlot(false);
@@ -174,7 +172,7 @@
             return { kind: "may-have-run", cause: this.isForeign ? "foreign-answer" : result.cause };
         }
         const head = this.head!;
-        const refusedBelow = head.status >= firstServerError && this.active?.hasRefusedCall === true;
+        const refusedBelow = head.status >= firstServerErrorStatus && this.active?.hasRefusedCall === true;
         return { kind: "answered", head, body: this.buffer.takeBody(), refusedBelow };
     }
 
--- a/src/relay/metrics/index.ts
+++ b/src/relay/metrics/index.ts
@@ -1,6 +1,7 @@
 /** Metrics of a relay node, in the format of Prometheus. */
 import { Counter, Histogram, Registry } from "prom-client";
 import { registerGauge } from "../../_lib/registerGauge";
+import { msPerSecond } from "../../constants";
 import { type SlotFigures } from "../slotQueue";
 
 /** Figures that are read when the metrics are scraped. */
@@ -9,7 +10,6 @@
     readonly upstreams: number;
 }
 
-const msPerSecond = 1_000;
 const durationBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
 /** Owns the metrics; label sets are bounded by the routes in force and fixed outcomes. */
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -9,6 +9,7 @@
 import { TimerWheel } from "../tasks/_lib/timerWheel";
 import { type Address } from "../types";
 import { AnswerTimes } from "./_lib/answerTimes";
+import { createLoadReport } from "./_lib/createLoadReport";
 import { deriveControlAddress, deriveLinkAddress } from "./_lib/deriveAddresses";
 import { RepeatBudgets } from "./_lib/repeatBudgets";
 import { ActiveRequests } from "./activeRequests";
@@ -215,7 +216,7 @@
             activeRequests: this.activeRequests,
             log: this.log,
             maxBodyBytes: () => this.routing.limits?.maxBodyBytes ?? Infinity,
-            createReport: (order, below) => this.createReport(order, below),
+            createReport: (order, met) => this.createReport(order, met),
             onVersionSeen: (host, version) => this.viewSync.observe(host, version),
             isLeaving: () => this.isLeaving(),
         });
@@ -256,15 +257,11 @@
         return this.peers.send(record?.host ?? "", order, owner);
     }
 
-    private createReport(order: HopOrder, below: CallFigures): LoadReport {
-        const own = this.slots.computeCongestion(order);
-        return {
-            ...this.slots.readFigures(),
-            congestion: Math.max(own, below.congestion),
-            calls: below.calls,
+    private createReport(order: HopOrder, met: CallFigures): LoadReport {
+        return createLoadReport(this.slots, order, met, {
             leaving: this.isLeaving(),
             version: this.routing.version,
-        };
+        });
     }
 
     private takeUpstreams(records: readonly UpstreamRecord[]): void {
--- a/src/relay/pauseGuard.ts
+++ b/src/relay/pauseGuard.ts
@@ -1,5 +1,6 @@
 /** Notices that the process has stood still, and for how long what it reads next may have waited in the sockets. */
 import { type Clock } from "../tasks/_lib/clock";
+import { GapWatch } from "../tasks/_lib/gapWatch";
 
 /** Interval of the ticks by which a pause shows while no request is read, in milliseconds; less than half a pause. */
 const tickMs = 100;
@@ -8,42 +9,35 @@
 /** What is read this soon after a pause may have been waiting all the while, in milliseconds. */
 const staleReadMs = 150;
 
-/** Owns the ticks; a gap in them is a pause. */
+/** Owns the watch for pauses, and what the last one was. */
 export class PauseGuard {
-    private lastTickMs: number;
+    private readonly watch: GapWatch;
     private wokeAtMs = -Infinity;
     private pauseMs = 0;
-    private stopTicks: (() => void) | undefined;
 
-    constructor(private readonly clock: Clock, private readonly onPause: (pauseMs: number) => void) {
-        this.lastTickMs = clock.readMonotonicMs();
+    constructor(clock: Clock, onPause: (pauseMs: number) => void) {
+        this.watch = new GapWatch(clock, {
+            intervalMs: tickMs,
+            thresholdMs: smallestPauseMs,
+            onGap: (gapMs, wokeAtMs) => {
+                this.pauseMs = gapMs;
+                this.wokeAtMs = wokeAtMs;
+                onPause(gapMs);
+            },
+        });
     }
 
     start(): void {
-        this.lastTickMs = this.clock.readMonotonicMs();
-        this.stopTicks = this.clock.startInterval(tickMs, () => this.check());
+        this.watch.start();
     }
 
     stop(): void {
-        this.stopTicks?.();
-        this.stopTicks = undefined;
+        this.watch.stop();
     }
 
     /** Time by which a request that is read now may be older than it says, in milliseconds. */
     readStaleMs(): number {
-        const nowMs = this.check();
+        const nowMs = this.watch.check();
         return nowMs - this.wokeAtMs < staleReadMs ? this.pauseMs : 0;
     }
-
-    private check(): number {
-        const nowMs = this.clock.readMonotonicMs();
-        const gapMs = nowMs - this.lastTickMs;
-        this.lastTickMs = nowMs;
-        if (this.stopTicks && gapMs > smallestPauseMs) {
-            this.pauseMs = gapMs;
-            this.wokeAtMs = nowMs;
-            this.onPause(gapMs);
-        }
-        return nowMs;
-    }
 }
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -4,7 +4,7 @@
 import { type Address } from "../../types";
 import { ConnectionPool } from "../connectionPool";
 import { encodeHopRequest } from "../hop/headers";
-import { hopMarginMs, RemoteHop } from "../hop/remoteHop";
+import { RemoteHop } from "../hop/remoteHop";
 import { LinkClient } from "../link/linkClient";
 import { type HopOrder, type HopOwner } from "../types";
 
@@ -31,6 +31,8 @@
 const silenceMs = 500;
 /** Time for the sign of life, in milliseconds; several round trips between failure domains. */
 const probeTimeoutMs = 400;
+/** Time by which the other node has to be done earlier, in milliseconds: the way back of its last word. */
+const hopMarginMs = 3;
 /** Pools without requests are dropped after this time, in milliseconds. */
 const unusedPoolMs = 30_000;
 
@@ -97,8 +99,7 @@
     private sendOverHttp(peer: Peer, order: HopOrder, owner: HopOwner): CancelHop {
         const hop = new RemoteHop(order, owner, {
             pool: peer.pool,
-            readNowMs: this.parts.clock.readMonotonicMs,
-            readVersion: this.parts.readVersion,
+            encodeOrder: encoded => this.encodeOrder(encoded),
         });
         hop.start();
         return cause => hop.cancel(cause);
@@ -112,12 +113,7 @@
         }
         const link: LinkClient = new LinkClient({
             address: { host, port: this.parts.linkPort },
-            encodeOrder: order =>
-                encodeHopRequest({
-                    ...order,
-                    remainingMs: order.deadlineAtMs - this.parts.clock.readMonotonicMs() - hopMarginMs,
-                    version: this.parts.readVersion(),
-                }),
+            encodeOrder: order => this.encodeOrder(order),
             onActivity: () => {
                 peer.lastActivityMs = this.parts.clock.readMonotonicMs();
             },
@@ -127,6 +123,11 @@
         return link;
     }
 
+    private encodeOrder(order: HopOrder): string {
+        const remainingMs = order.deadlineAtMs - this.parts.clock.readMonotonicMs() - hopMarginMs;
+        return encodeHopRequest({ ...order, remainingMs, version: this.parts.readVersion() });
+    }
+
     private open(host: string): Peer {
         const existing = this.peers.get(host);
         if (existing) {
--- a/src/tasks/pauseDetector/index.ts
+++ b/src/tasks/pauseDetector/index.ts
@@ -1,34 +1,31 @@
 /** Notices that the process has been paused and woken up late. */
 import { heartbeatIntervalMs, pauseThresholdMs } from "../../constants";
 import { type Clock } from "../_lib/clock";
+import { GapWatch } from "../_lib/gapWatch";
 import { type MessageBus } from "../messages";
 
 /** Owns the heartbeat; a gap in it is a pause, which is published before anything else is done. */
 export class PauseDetector {
-    private lastBeatMs: number;
-    private stopInterval: (() => void) | undefined;
+    private readonly watch: GapWatch;
 
-    constructor(private readonly clock: Clock, private readonly bus: MessageBus) {
-        this.lastBeatMs = clock.readMonotonicMs();
+    constructor(clock: Clock, bus: MessageBus) {
+        this.watch = new GapWatch(clock, {
+            intervalMs: heartbeatIntervalMs,
+            thresholdMs: pauseThresholdMs,
+            onGap: (pausedMs, wokeAtMs) => bus.publish({ kind: "paused", pausedMs, wokeAtMs }),
+        });
     }
 
     start(): void {
-        this.lastBeatMs = this.clock.readMonotonicMs();
-        this.stopInterval = this.clock.startInterval(heartbeatIntervalMs, () => this.check());
+        this.watch.start();
     }
 
     stop(): void {
-        this.stopInterval?.();
-        this.stopInterval = undefined;
+        this.watch.stop();
     }
 
-    /** Looks for a gap; called by the heartbeat, and before each request that a pause could make unsafe. */
+    /** Looks for a gap; called before each request that a pause could make unsafe. */
     check(): void {
-        const nowMs = this.clock.readMonotonicMs();
-        const gapMs = nowMs - this.lastBeatMs;
-        this.lastBeatMs = nowMs;
-        if (this.stopInterval && gapMs > pauseThresholdMs) {
-            this.bus.publish({ kind: "paused", pausedMs: gapMs, wokeAtMs: nowMs });
-        }
+        this.watch.check();
     }
 }
