Have the virtual fleet report loads by the product's function

It built the report of a node a second time. A test interface also had the name of a class that exists (VirtualGraph), and the answering upstream of two test files is one fixture now. Assertions as before.

--- a/src/relay/incarnations.test.ts
+++ b/src/relay/incarnations.test.ts
@@ -3,6 +3,7 @@
     type RelayFleet,
     sendToEntry,
     sendUpstreamAnswer,
+    sendWholeAnswer,
     startRelayFleet,
     testNames,
     type UpstreamBehaviour,
@@ -13,8 +14,6 @@
     createRoute({ name: "booking", prefix: "/booking/", idempotent: false, rank: 0 }),
 ]);
 
-const sendWholeAnswer: UpstreamBehaviour = (request, response) => sendUpstreamAnswer(request, response, 200, "whole");
-
 let fleet: RelayFleet;
 
 afterEach(() => fleet.stop());
--- a/src/relay/test.ts
+++ b/src/relay/test.ts
@@ -4,6 +4,7 @@
     type RelayFleet,
     sendToEntry,
     sendUpstreamAnswer,
+    sendWholeAnswer,
     startRelayFleet,
     testNames,
     type UpstreamBehaviour,
@@ -13,7 +14,6 @@
 const lookup = createRoute();
 const table = createTable(3, [lookup, booking]);
 
-const sendWholeAnswer: UpstreamBehaviour = (request, response) => sendUpstreamAnswer(request, response, 200, "whole");
 const abortAnswer: UpstreamBehaviour = request => request.socket.resetAndDestroy();
 
 let fleet: RelayFleet;
--- a/src/testing/createVirtualLoad.ts
+++ b/src/testing/createVirtualLoad.ts
@@ -5,7 +5,7 @@
 import { type VirtualFleetOptions, VirtualRelayFleet } from "./virtualRelayFleet";
 
 /** A call graph with the load on it. */
-export interface VirtualGraph extends Omit<VirtualFleetOptions, "clock" | "seed"> {
+export interface LoadedGraph extends Omit<VirtualFleetOptions, "clock" | "seed"> {
     readonly classes: readonly CallerClass[];
 }
 
@@ -15,7 +15,7 @@
 
 /** Creates a fleet with its callers on a clock of their own; `computeSurge` gives a factor on their rates at a time. */
 export const createVirtualLoad = (
-    { classes, ...graph }: VirtualGraph,
+    { classes, ...graph }: LoadedGraph,
     seed: number,
     computeSurge: (atMs: number) => number,
 ) => {
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -82,6 +82,10 @@
     response.end(body);
 };
 
+/** An upstream that answers each request. */
+export const sendWholeAnswer: UpstreamBehaviour = (request, response) =>
+    sendUpstreamAnswer(request, response, 200, "whole");
+
 /** Entry, peers, control, links and admin. */
 const portsPerNode = 5;
 
--- a/src/testing/virtualRelayCallers.ts
+++ b/src/testing/virtualRelayCallers.ts
@@ -1,5 +1,6 @@
 /** Callers of a virtual relay fleet: an open loop, each request returning once when it was refused or failed. */
 import { createRandom } from "../_lib/createRandom";
+import { msPerSecond } from "../constants";
 import { type Route } from "../routing/types";
 import { findHeader } from "../tasks/_lib/headers";
 import { type ReceivedAnswer } from "./fakeExchange";
@@ -32,7 +33,6 @@
 
 const latencyMs = 8;
 const windowMs = 1_000;
-const msPerSecond = 1_000;
 /** Callers wait as they are told up to this share of the time that they have left. */
 const honouredShare = 1 / 3;
 const defaultReturnMs = 100;
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -3,11 +3,11 @@
 import { createRandom } from "../_lib/createRandom";
 import { relayTickMs } from "../constants";
 import { AnswerTimes } from "../relay/_lib/answerTimes";
+import { createLoadReport } from "../relay/_lib/createLoadReport";
 import { RepeatBudgets } from "../relay/_lib/repeatBudgets";
 import { ActiveRequests } from "../relay/activeRequests";
 import { Entry, type SendHop } from "../relay/entry";
 import { Ingress } from "../relay/ingress";
-import { noCalls } from "../relay/ingress/servedHop";
 import { DecisionLog } from "../relay/log";
 import { RelayMetrics } from "../relay/metrics";
 import { RoutingInForce } from "../relay/routing";
@@ -52,8 +52,6 @@
     private readonly entry: Entry;
     private readonly ingress: Ingress;
     private readonly directory: UpstreamDirectory;
-    private readonly slots: SlotQueue;
-    private readonly routing: RoutingInForce;
     private readonly budgets: RepeatBudgets;
 
     constructor(
@@ -74,11 +72,11 @@
             work,
             call: request => clock.schedule(localLatencyMs, () => this.send(request)),
         });
-        this.slots = new SlotQueue(wheel, readNowMs);
-        this.slots.updateSlots(record.slots);
+        const slots = new SlotQueue(wheel, readNowMs);
+        slots.updateSlots(record.slots);
         this.directory = new UpstreamDirectory(record.failureDomain, readNowMs);
-        this.routing = new RoutingInForce(sampleRandom, () => undefined);
-        this.routing.adopt(createTable(1, routes), "test");
+        const routing = new RoutingInForce(sampleRandom, () => undefined);
+        routing.adopt(createTable(1, routes), "test");
         this.budgets = new RepeatBudgets(repeatAllowance, readNowMs);
         const shared = { names: testNames, activeRequests, log, readNowMs, readStaleMs: () => 0 };
         this.ingress = new Ingress({
@@ -88,26 +86,26 @@
                 () => ({ latencyMs: localLatencyMs, cut: false, refused: false }),
                 request => this.upstream.handle(request),
             ),
-            slots: this.slots,
+            slots,
             isQuarantined: () => false,
             onUpstreamLost: () => undefined,
             onForeignAnswer: () => undefined,
             onAnswered: () => undefined,
             maxBodyBytes: () => Infinity,
-            createReport: (order, below) => this.createReport(order, below),
+            createReport: (order, met) => createLoadReport(slots, order, met, { leaving: false, version: 1 }),
             onVersionSeen: () => undefined,
             isLeaving: () => false,
         });
         this.entry = new Entry({
             ...shared,
             readService: () => record.service,
-            routing: this.routing,
+            routing,
             directory: this.directory,
             shedding: new Shedding(readNowMs),
             budgets: this.budgets,
             answerTimes: new AnswerTimes(),
             wheel,
-            metrics: new RelayMetrics(() => ({ ...this.slots.readFigures(), version: 1, upstreams: 0 })),
+            metrics: new RelayMetrics(() => ({ ...slots.readFigures(), version: 1, upstreams: 0 })),
             computeTimeLeftMs: () => Infinity,
             sendHop: (order, owner) => this.fleet.sendHop(order, owner, this),
             sampleRandom,
@@ -126,16 +124,6 @@
     serve(order: HopOrder, owner: HopOwner): () => void {
         return this.ingress.serve(order, owner);
     }
-
-    private createReport(order: HopOrder, below: typeof noCalls): ReturnType<Ingress["parts"]["createReport"]> {
-        return {
-            ...this.slots.readFigures(),
-            congestion: Math.max(this.slots.computeCongestion(order), below.congestion),
-            calls: below.calls,
-            leaving: false,
-            version: 1,
-        };
-    }
 }
 
 /** Owns the nodes. */
