Choose among a few random upstreams instead of the first of the whole list

Cause: over 75 equal upstreams without fresh reports the first of the list won each tie at every node (2,000 of 2,000 choices), and each attempt built an object for every upstream of the service. An upstream that rejects part of its requests at once looked idle and drew more. Ruled out: a deterministic subset of upstreams for each node (rendezvous hashing): subsets are uneven by about 15% at 62 upstreams, and links between nodes cost nothing that a sample saves. Change: two random upstreams of the own failure domain and two others are compared, whatever the length of the list; ties are random; recent failures count as expected time; a reported queue ages faster than a reported service time.

--- a/src/decisions/chooseUpstream/index.ts
+++ b/src/decisions/chooseUpstream/index.ts
@@ -11,6 +11,8 @@
     readonly meanServiceMs: number;
     /** Age of the last report, in milliseconds. */
     readonly reportAgeMs: number;
+    /** Share of recent requests that the upstream rejected, failed or left without an answer, 0 to 1. */
+    readonly failureRate: number;
     /** Whether recent attempts to reach the upstream failed. */
     readonly isOutlier: boolean;
 }
@@ -19,22 +21,23 @@
 export interface UpstreamChoiceOptions {
     /** Time that another failure domain must be expected to save before a request is sent there, in milliseconds. */
     readonly domainPenaltyMs: number;
-    /** Whether the request may be sent to an upstream just because its last report is old. */
-    readonly mayExplore: boolean;
-    /** Random numbers in [0, 1): the first decides whether to explore, the second which upstream. */
-    readonly randoms: readonly [number, number];
+    /** Time that a failed attempt is expected to cost, in milliseconds. */
+    readonly failurePenaltyMs: number;
+    /** Returns a random number in [0, 1); breaks ties, so that nodes that know nothing don't choose the same upstream. */
+    readonly sampleRandom: () => number;
 }
 
 /** Service time assumed while no candidate has reported one, in milliseconds. */
 const defaultServiceMs = 100;
-/** Age up to which a report keeps its full weight, in milliseconds. */
-const freshReportMs = 1_000;
-/** Time constant of the exponential decay of an older report's weight, in milliseconds. */
-const reportDecayMs = 2_000;
-/** Minimum age of the last report for an upstream to be explored, in milliseconds. */
-const exploreAfterMs = 1_000;
-/** Probability that a request which may explore does so, if there is an upstream to explore. */
-const exploreProbability = 0.1;
+/** Age up to which a reported queue keeps its full weight, and time constant of its decay, in milliseconds. */
+const freshQueueMs = 1_000;
+const queueDecayMs = 2_000;
+/** The same for a reported service time, which changes more slowly than a queue. */
+const freshServiceMs = 3_000;
+const serviceDecayMs = 5_000;
+
+const computeWeight = (ageMs: number, freshMs: number, decayMs: number): number =>
+    Math.exp(-Math.max(0, ageMs - freshMs) / decayMs);
 
 const computeFallbackServiceMs = (candidates: readonly UpstreamCandidate[]): number => {
     const known = candidates.filter(({ meanServiceMs }) => meanServiceMs > 0);
@@ -45,45 +48,43 @@
 
 /**
  * Computes the expected time until an upstream answers, in milliseconds. As its last report ages, the service time
- * shifts from the reported value to `fallbackServiceMs`.
+ * shifts from the reported value to `fallbackServiceMs`, and the queue to an empty one.
  */
 export const computeExpectedMs = (candidate: UpstreamCandidate, fallbackServiceMs: number): number => {
     const { meanServiceMs, reportAgeMs, pendingRequests, limit } = candidate;
-    const weight = meanServiceMs === 0 ? 0 : Math.exp(-Math.max(0, reportAgeMs - freshReportMs) / reportDecayMs);
-    const serviceMs = weight * meanServiceMs + (1 - weight) * fallbackServiceMs;
+    const serviceWeight = meanServiceMs === 0 ? 0 : computeWeight(reportAgeMs, freshServiceMs, serviceDecayMs);
+    const serviceMs = serviceWeight * meanServiceMs + (1 - serviceWeight) * fallbackServiceMs;
     const slots = limit > 0 ? limit : 1;
-    const queuedCount = Math.max(0, pendingRequests + 1 - slots);
+    const queueWeight = Number.isFinite(reportAgeMs) ? computeWeight(reportAgeMs, freshQueueMs, queueDecayMs) : 1;
+    const queuedCount = queueWeight * Math.max(0, pendingRequests + 1 - slots);
     return serviceMs * (1 + queuedCount / slots);
 };
 
 /**
  * Chooses the upstream that is expected to answer first. Returns undefined if there are no candidates. An upstream in
  * another failure domain must be faster by `domainPenaltyMs`, so that traffic stays within a domain as long as that
- * costs callers little time. Outliers are used only if there is no other upstream. Some requests explore: they go to an
- * upstream in the local domain whose last report is old.
+ * costs callers little time. One that fails part of its requests is expected to cost `failurePenaltyMs` in proportion:
+ * an upstream that rejects requests at once looks idle otherwise. Outliers are used only if there is no other upstream.
  */
 export const chooseUpstream = (
     candidates: readonly UpstreamCandidate[],
-    options: UpstreamChoiceOptions,
+    { domainPenaltyMs, failurePenaltyMs, sampleRandom }: UpstreamChoiceOptions,
 ): UpstreamCandidate | undefined => {
     const available = candidates.filter(({ isOutlier }) => !isOutlier);
     const pool = available.length > 0 ? available : candidates;
-    const stale = options.mayExplore && options.randoms[0] < exploreProbability
-        ? pool.filter(({ reportAgeMs, isLocalDomain }) => isLocalDomain && reportAgeMs > exploreAfterMs)
-        : [];
-    if (stale.length > 0) {
-        return stale[Math.floor(options.randoms[1] * stale.length)];
-    }
     const fallbackServiceMs = computeFallbackServiceMs(pool);
     let best: UpstreamCandidate | undefined;
     let bestMs = Infinity;
+    let tieCount = 0;
     pool.forEach(candidate => {
-        const penaltyMs = candidate.isLocalDomain ? 0 : options.domainPenaltyMs;
-        const expectedMs = computeExpectedMs(candidate, fallbackServiceMs) + penaltyMs;
-        if (expectedMs < bestMs) {
+        const expectedMs = computeExpectedMs(candidate, fallbackServiceMs)
+            + (candidate.isLocalDomain ? 0 : domainPenaltyMs)
+            + candidate.failureRate * failurePenaltyMs;
+        tieCount = expectedMs === bestMs ? tieCount + 1 : 1;
+        if (expectedMs < bestMs || expectedMs === bestMs && sampleRandom() * tieCount < 1) {
             best = candidate;
-            bestMs = expectedMs;
         }
+        bestMs = Math.min(bestMs, expectedMs);
     });
     return best;
 };
--- a/src/relay/entry/requestSender.ts
+++ b/src/relay/entry/requestSender.ts
@@ -101,15 +101,11 @@
         const { directory, sampleRandom, readNowMs, metrics } = this.dependencies;
         const { route, service, startedAtMs } = this.input;
         const pendingUpstreamIds = [...this.hops].map(({ upstreamId }) => upstreamId);
-        const candidates = directory.listCandidates(service, [
-            ...this.triedUpstreamIds,
-            ...this.unreachedUpstreamIds,
-            ...pendingUpstreamIds,
-        ]);
-        const chosen = chooseUpstream(candidates, {
+        const excludedIds = [...this.triedUpstreamIds, ...this.unreachedUpstreamIds, ...pendingUpstreamIds];
+        const chosen = chooseUpstream(directory.sampleCandidates(service, excludedIds, sampleRandom), {
             domainPenaltyMs: domainPenaltyShare * route.targetLatencyMs,
-            mayExplore: route.idempotent && !isRetry,
-            randoms: [sampleRandom(), sampleRandom()],
+            failurePenaltyMs: route.targetLatencyMs,
+            sampleRandom,
         });
         if (!chosen) {
             return false;
@@ -156,6 +152,10 @@
         if (report) {
             this.recordReport(hop.upstreamId, report);
         }
+        const outcome = judgeOutcome(result);
+        if (outcome !== "unknown") {
+            this.dependencies.directory.recordOutcome(hop.upstreamId, outcome === "failure");
+        }
         if (this.isFinished) {
             return;
         }
@@ -265,3 +265,15 @@
 
 const isSuccess = (result: HopResult): boolean =>
     result.kind === "answered" && result.head.status < firstServerErrorStatus;
+
+/** Judges whether the upstream of a hop has failed. A refusal by its node and a cancelled request tell nothing. */
+const judgeOutcome = (result: HopResult): "success" | "failure" | "unknown" => {
+    if (result.kind === "answered") {
+        const isFailure = result.head.status >= firstServerErrorStatus;
+        return isFailure && result.nestedCallRefused ? "unknown" : isFailure ? "failure" : "success";
+    }
+    if (result.kind === "not-run") {
+        return result.reason === "rejected" || result.reason === "down" ? "failure" : "unknown";
+    }
+    return result.cause === "cancelled" ? "unknown" : "failure";
+};
--- a/src/relay/upstreamDirectory/index.ts
+++ b/src/relay/upstreamDirectory/index.ts
@@ -1,5 +1,6 @@
 /** Directory of upstreams: their records, and the load and failures that this node has observed. */
 import { type UpstreamCandidate } from "../../decisions/chooseUpstream";
+import { sampleIndexes } from "../../decisions/sampleIndexes";
 import { type UpstreamRecord } from "../../routing/types";
 import { type LoadReport } from "../types";
 
@@ -15,8 +16,23 @@
     /** Number of outlier periods since the last report. */
     outlierPeriods: number;
     leavingUntilMs: number;
+    /** Moving mean of the failures at the time of the last result, 0 to 1. */
+    failureRate: number;
+    resultAtMs: number;
 }
 
+/** Upstreams of one service that are ready, by whether they are in the failure domain of this node. */
+interface ServicePool {
+    readonly local: UpstreamRecord[];
+    readonly remote: UpstreamRecord[];
+}
+
+/** Numbers of upstreams that are sampled for one request; remote ones fill up when local ones are missing. */
+const localSampleSize = 2;
+const sampleSize = 4;
+/** Weight of one result in the failure rate, and time constant of the rate's decay without results, in milliseconds. */
+const failureWeight = 0.15;
+const failureDecayMs = 3_000;
 /** Duration of the first outlier period after a report, in milliseconds; each further period is twice as long. */
 const initialOutlierMs = 200;
 /** Maximum duration of an outlier period, in milliseconds. */
@@ -32,12 +48,14 @@
     outlierUntilMs: 0,
     outlierPeriods: 0,
     leavingUntilMs: 0,
+    failureRate: 0,
+    resultAtMs: -Infinity,
 });
 
 /** Lists the upstreams that accept requests, with the load and the outlier state by which one is chosen. */
 export class UpstreamDirectory {
     private byId = new Map<string, UpstreamRecord>();
-    private byService = new Map<string, UpstreamRecord[]>();
+    private pools = new Map<string, ServicePool>();
     private readonly observations = new Map<string, UpstreamObservation>();
 
     constructor(private readonly failureDomain: string, private readonly readNowMs: () => number) {}
@@ -45,11 +63,11 @@
     /** Replaces the records; discards the observations of unlisted upstreams without requests in flight. */
     update(records: readonly UpstreamRecord[]): void {
         this.byId = new Map(records.map(record => [record.id, record]));
-        this.byService = new Map();
-        records.forEach(record => {
-            const serviceRecords = this.byService.get(record.service) ?? [];
-            serviceRecords.push(record);
-            this.byService.set(record.service, serviceRecords);
+        this.pools = new Map();
+        records.filter(({ state }) => state === "ready").forEach(record => {
+            const pool = this.pools.get(record.service) ?? { local: [], remote: [] };
+            (record.failureDomain === this.failureDomain ? pool.local : pool.remote).push(record);
+            this.pools.set(record.service, pool);
         });
         [...this.observations].forEach(([id, { outstandingRequests }]) => {
             if (outstandingRequests === 0 && !this.byId.has(id)) {
@@ -76,11 +94,35 @@
     /** Lists the upstreams of a service that are ready and not leaving, without the excluded ones. */
     listCandidates(service: string, excludedIds: readonly string[]): readonly UpstreamCandidate[] {
         const nowMs = this.readNowMs();
-        return (this.byService.get(service) ?? [])
-            .filter(({ id, state }) => state === "ready" && !excludedIds.includes(id) && !this.isLeaving(id, nowMs))
+        const { local, remote } = this.pools.get(service) ?? emptyPool;
+        return [...local, ...remote]
+            .filter(({ id }) => !excludedIds.includes(id) && !this.isLeaving(id, nowMs))
             .map(record => this.createCandidate(record, nowMs));
     }
 
+    /**
+     * Samples a few upstreams of a service that are ready and not leaving, without the excluded ones. Lists all of them
+     * if the sample has none but outliers.
+     */
+    sampleCandidates(
+        service: string,
+        excludedIds: readonly string[],
+        sampleRandom: () => number,
+    ): readonly UpstreamCandidate[] {
+        const nowMs = this.readNowMs();
+        const { local, remote } = this.pools.get(service) ?? emptyPool;
+        const sample = (records: readonly UpstreamRecord[], count: number): readonly UpstreamRecord[] =>
+            sampleIndexes(records.length, count, sampleRandom, index => {
+                const { id } = records[index]!;
+                return !excludedIds.includes(id) && !this.isLeaving(id, nowMs) && !this.isOutlier(id, nowMs);
+            }).map(index => records[index]!);
+        const localSample = sample(local, localSampleSize);
+        const sampled = [...localSample, ...sample(remote, sampleSize - localSample.length)];
+        return sampled.length === 0
+            ? this.listCandidates(service, excludedIds)
+            : sampled.map(record => this.createCandidate(record, nowMs));
+    }
+
     /** Records that a request has been sent to an upstream. */
     recordSent(id: string): void {
         this.getObservation(id).outstandingRequests += 1;
@@ -92,6 +134,15 @@
         observation.outstandingRequests = Math.max(0, observation.outstandingRequests - 1);
     }
 
+    /** Records whether an upstream has failed a request that reached it or its node. */
+    recordOutcome(id: string, isFailure: boolean): void {
+        const observation = this.getObservation(id);
+        const nowMs = this.readNowMs();
+        const failureRate = computeFailureRate(observation, nowMs);
+        observation.failureRate = failureRate + failureWeight * ((isFailure ? 1 : 0) - failureRate);
+        observation.resultAtMs = nowMs;
+    }
+
     /** Records the load report of an upstream, which is then no longer an outlier. */
     recordReport(id: string, report: LoadReport): void {
         const observation = this.getObservation(id);
@@ -127,6 +178,10 @@
         return (this.observations.get(id)?.leavingUntilMs ?? 0) > nowMs;
     }
 
+    private isOutlier(id: string, nowMs: number): boolean {
+        return (this.observations.get(id)?.outlierUntilMs ?? 0) > nowMs;
+    }
+
     private getObservation(id: string): UpstreamObservation {
         const existing = this.observations.get(id);
         if (existing) {
@@ -151,7 +206,14 @@
             limit: report?.limit ?? record.slots,
             meanServiceMs: report?.meanServiceMs ?? 0,
             reportAgeMs: nowMs - observation.reportedAtMs,
+            failureRate: computeFailureRate(observation, nowMs),
             isOutlier: observation.outlierUntilMs > nowMs,
         };
     }
 }
+
+const emptyPool: ServicePool = { local: [], remote: [] };
+
+/** Computes the failure rate of an upstream, which decays while the upstream gets no requests. */
+const computeFailureRate = ({ failureRate, resultAtMs }: UpstreamObservation, nowMs: number): number =>
+    failureRate === 0 ? 0 : failureRate * Math.exp((resultAtMs - nowMs) / failureDecayMs);
--- a/src/relay/upstreamDirectory/test.ts
+++ b/src/relay/upstreamDirectory/test.ts
@@ -1,3 +1,4 @@
+import { createRandom } from "../../_lib/createRandom";
 import { createUpstreamRecord } from "../../testing/createRoute";
 import { type LoadReport } from "../types";
 import { UpstreamDirectory } from "./index";
@@ -83,6 +84,34 @@
         expect(isOutlier()).toBe(false);
     });
 
+    it("remembers the failures of an upstream for some seconds, and forgets them with successes", () => {
+        const { clock, directory } = createDirectory();
+        const readRate = (): number => directory.listCandidates("desk", [])[0]!.failureRate;
+        for (let result = 0; result < 10; result += 1) {
+            directory.recordOutcome("near", true);
+        }
+        expect(readRate()).toBeGreaterThan(0.7);
+        clock.nowMs += 9_000;
+        expect(readRate()).toBeLessThan(0.05);
+        directory.recordOutcome("near", true);
+        const rate = readRate();
+        directory.recordOutcome("near", false);
+        expect(readRate()).toBeLessThan(rate);
+    });
+
+    it("samples no excluded, leaving or draining upstream, and outliers only if there is no other", () => {
+        const { directory } = createDirectory();
+        const sampleIds = (excludedIds: readonly string[] = []): string =>
+            directory.sampleCandidates("desk", excludedIds, createRandom(1)).map(({ id }) => id).join(",");
+        expect(sampleIds()).toBe("near,far");
+        expect(sampleIds(["near"])).toBe("far");
+        directory.recordFailure("far");
+        expect(sampleIds()).toBe("near");
+        expect(sampleIds(["near"])).toBe("far");
+        directory.recordReport("far", createReport({ leaving: true }));
+        expect(sampleIds(["near"])).toBe("");
+    });
+
     it("finds the latest record at an address", () => {
         const { directory } = createDirectory();
         directory.update([
