Let two nodes of each failure domain watch the store for the others

Ruled out: longer waits of each watch (a lost answer would be noticed too late), stale reads as the way to follow changes (seconds old, could bring back an older version), pushing changes (the sender has to know who listens). Change: nodes rank the ready upstreams of their failure domain by rendezvous hash; the first two watch, the others ask one of them with long polls, and read the store themselves when it doesn't answer, lies behind or can't reach the store. A node that is asked begins to watch. A position is an era and a revision; a new era is read in full and merged by incarnation and sequence, so that no upstream that has left comes back. A starting node finds others in a stale copy. Found by the new test: an answer of another node cleared the need to read a new era in full, so that no node left the old era (it is cleared by a newer position only).

--- a/src/decisions/computeHome/index.ts
+++ b/src/decisions/computeHome/index.ts
@@ -1,7 +1,4 @@
-import { createHash } from "node:crypto";
-
-const computeWeight = (key: string, endpoint: string): bigint =>
-    createHash("sha256").update(endpoint).update("\n").update(key).digest().readBigUInt64BE(0);
+import { computeHashWeight } from "../../_lib/computeHashWeight";
 
 /**
  * Computes the home of a keyed request, the only endpoint that runs it, by rendezvous hash of the caller and the key.
@@ -13,7 +10,7 @@
     let home: string | undefined;
     let highestWeight = -1n;
     endpoints.forEach(endpoint => {
-        const weight = computeWeight(scopedKey, endpoint);
+        const weight = computeHashWeight(scopedKey, endpoint);
         if (weight > highestWeight) {
             highestWeight = weight;
             home = endpoint;
--- a/src/relay/control/index.ts
+++ b/src/relay/control/index.ts
@@ -1,4 +1,4 @@
-/** Control procedures between nodes over tRPC: query of the fleet view, and reports of suspected poison requests. */
+/** Control procedures between nodes over tRPC: fleet view, its changes, and reports of suspected poison requests. */
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
@@ -6,6 +6,7 @@
 import * as z from "zod";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { type Address } from "../../types";
+import { type ChangesQuery, type FleetChanges } from "../fleet/types";
 
 /** One node's view of the fleet: its routing table and its upstream records. */
 export interface FleetView {
@@ -16,6 +17,8 @@
 /** Functions that serve the control procedures called by other nodes. */
 export interface ControlDependencies {
     readonly readView: () => FleetView;
+    /** Waits for changes of the fleet view. */
+    readonly awaitChanges: (query: ChangesQuery) => Promise<FleetChanges>;
     /** Called with the fingerprint of a request during which an upstream crashed, and with the name of its node. */
     readonly receiveSuspect: (fingerprint: string, node: string) => void;
 }
@@ -28,10 +31,20 @@
     node: z.string().max(maxFieldCharacters),
 });
 
+/** Maximum time that a query of changes may wait, in milliseconds. */
+const maxChangesWaitMs = 5_000;
+const changesSchema = z.object({
+    viewId: z.string().max(maxFieldCharacters),
+    serial: z.number(),
+    version: z.number(),
+    waitMs: z.number().min(0).max(maxChangesWaitMs),
+});
+
 const createRelayRouter = (dependencies: ControlDependencies) => {
     const trpc = initTRPC.create();
     return trpc.router({
         view: trpc.procedure.query(() => dependencies.readView()),
+        changes: trpc.procedure.input(changesSchema).query(({ input }) => dependencies.awaitChanges(input)),
         suspect: trpc.procedure.input(suspectSchema).mutation(({ input }) => {
             dependencies.receiveSuspect(input.fingerprint, input.node);
         }),
@@ -45,8 +58,13 @@
 export const createControlHandler = (dependencies: ControlDependencies): RequestListener =>
     createHTTPHandler({ router: createRelayRouter(dependencies), basePath: "/trpc/" });
 
-const createClient = (address: Address) =>
-    createTRPCClient<RelayRouter>({ links: [httpLink({ url: `http://${address.host}:${address.port}/trpc` })] });
+type ClientFetch = Parameters<typeof httpLink>[0]["fetch"];
+
+/** Creates a client of a node's control listener; `fetch` replaces the runtime's implementation. */
+export const createClient = (address: Address, fetch?: ClientFetch) =>
+    createTRPCClient<RelayRouter>({
+        links: [httpLink({ url: `http://${address.host}:${address.port}/trpc`, ...fetch && { fetch } })],
+    });
 
 /** Queries the fleet view of another node; resolves to undefined if the call fails or times out. */
 export const queryView = async (address: Address): Promise<FleetView | undefined> => {
--- /dev/null
+++ b/src/relay/fleet/fleetState.ts
@@ -0,0 +1,179 @@
+/** A node's view of the fleet with what depends on it: the ranking of the nodes, the listener and waiting queries. */
+import { comparePositions } from "../../decisions/comparePositions";
+import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
+import { type SourceListener } from "../source";
+import { ChangeWaiters } from "./changeWaiters";
+import { FleetView } from "./fleetView";
+import { PeerRanking, type RankingPlace } from "./peerRanking";
+import { type ChangesQuery, type FleetBatch, type FleetChanges, type StoreReading } from "./types";
+
+/** The platform's name as a place that changes are read from. */
+export const platformPlace = "platform";
+
+/** Place of a node and its sources of time. */
+export interface FleetStateOptions extends RankingPlace {
+    /** Id of this node's view, unique over nodes and restarts. */
+    readonly viewId: string;
+    readonly readNowMs: () => number;
+    readonly awaitDelay: (delayMs: number) => Promise<void>;
+}
+
+/** Applies what the store and other nodes have answered, and answers the queries of other nodes. */
+export class FleetState {
+    readonly ranking: PeerRanking;
+    readonly view: FleetView;
+    /** Whether everything has to be read from the store again. */
+    mustReadAll = true;
+    private isReachable: boolean | undefined;
+    private isCurrent = false;
+    private place = "";
+    /** Cursor in the view of the node that answered last. */
+    private cursor = { viewId: "", serial: 0 };
+    private readonly waiters: ChangeWaiters;
+
+    constructor(private readonly options: FleetStateOptions, private readonly listener: SourceListener) {
+        this.view = new FleetView(options.viewId, options.readNowMs);
+        this.ranking = new PeerRanking(options, options.readNowMs);
+        this.waiters = new ChangeWaiters(options.awaitDelay);
+    }
+
+    /** Whether the node reads the store itself and its last query succeeded. */
+    get isReadingStore(): boolean {
+        return this.isCurrent;
+    }
+
+    /** Sets whether the node reads the store; waiting queries are answered when that changes. */
+    updateReadingStore(isReading: boolean): void {
+        if (this.isCurrent !== isReading) {
+            this.isCurrent = isReading;
+            this.waiters.release();
+        }
+    }
+
+    /** Creates the query for the changes that this node doesn't know yet. */
+    createQuery(waitMs: number): ChangesQuery {
+        return { ...this.cursor, version: this.readVersion(), waitMs };
+    }
+
+    /** Waits for changes since the cursor of another node's query. */
+    async awaitChanges(query: ChangesQuery): Promise<FleetChanges> {
+        if (query.waitMs > 0 && !this.hasChanges(query)) {
+            await this.waiters.awaitRelease(query.waitMs);
+        }
+        const table = this.listener.readTable();
+        return {
+            viewId: this.options.viewId,
+            serial: this.view.serial,
+            batch: this.view.listChanges(query),
+            table: table && table.version > query.version ? table : undefined,
+            isCurrent: this.isCurrent,
+        };
+    }
+
+    /** Applies a reading of the store; returns whether it succeeded. */
+    applyReading(reading: StoreReading): boolean {
+        this.reportReachability(reading);
+        if (reading.kind !== "batch") {
+            this.mustReadAll ||= reading.kind === "history-lost";
+            return false;
+        }
+        reading.unreadable.forEach(({ key, detail }) => this.listener.onUnreadable(key, detail));
+        this.applyTable(reading.table, platformPlace);
+        const result = this.applyBatch(reading.batch);
+        this.mustReadAll = result === "gap" || result === "outdated" && reading.batch.isFull;
+        return result === "applied";
+    }
+
+    /** Applies the answer of another node; returns false if its view is older than this node's. */
+    applyChanges({ viewId, serial, batch, table }: FleetChanges, host: string): boolean {
+        this.applyTable(table, host);
+        if (!batch) {
+            return true;
+        }
+        const { position: previous } = this.view;
+        const result = this.applyBatch(batch);
+        if (result !== "applied") {
+            this.cursor = result === "gap" ? { viewId: "", serial: 0 } : this.cursor;
+            return false;
+        }
+        this.cursor = { viewId, serial };
+        // A watch can continue from a newer position; from the same one it would fail again.
+        this.mustReadAll &&= previous !== undefined && comparePositions(batch.position, previous) <= 0;
+        return true;
+    }
+
+    /** Removes upstreams whose time to renew their entries is over. */
+    expireMissing(): void {
+        if (this.view.expireMissing()) {
+            this.publishUpstreams();
+        }
+    }
+
+    /** Takes over the ranking from the records of another node while the node knows no other. */
+    receivePeers(records: readonly UpstreamRecord[]): void {
+        if (!this.ranking.hasPeers) {
+            this.ranking.update(records);
+        }
+    }
+
+    /** Reports from which place the node reads, if that has changed. */
+    reportPlace(place: string, reason: string): void {
+        if (this.place !== place) {
+            this.place = place;
+            this.listener.onReadingFrom(place, reason);
+        }
+    }
+
+    /** Answers all waiting queries. */
+    releaseWaiters(): void {
+        this.waiters.release();
+    }
+
+    private applyBatch(batch: FleetBatch): ReturnType<FleetView["apply"]> {
+        const { position: previous, serial } = this.view;
+        const result = this.view.apply(batch);
+        const { position } = this.view;
+        if (position && previous && position.era !== previous.era) {
+            this.listener.onEra(position.era, position.revision);
+        }
+        if (!previous && position || this.view.serial !== serial) {
+            this.publishUpstreams();
+        }
+        return result;
+    }
+
+    private applyTable(table: RoutingTable | undefined, from: string): void {
+        if (table && table.version > this.readVersion()) {
+            this.listener.onRouting(table, from);
+            this.waiters.release();
+        }
+    }
+
+    private publishUpstreams(): void {
+        const records = this.view.list();
+        this.ranking.update(records);
+        this.listener.onUpstreams(records);
+        this.waiters.release();
+    }
+
+    /** Whether a query can be answered at once. */
+    private hasChanges({ viewId, serial, version }: ChangesQuery): boolean {
+        const isViewKnown = viewId === this.options.viewId && serial === this.view.serial;
+        return this.isCurrent && (!isViewKnown || this.readVersion() > version);
+    }
+
+    private readVersion(): number {
+        return this.listener.readTable()?.version ?? 0;
+    }
+
+    private reportReachability(reading: StoreReading): void {
+        const isReachable = reading.kind !== "failed";
+        if (isReachable && this.isReachable === false) {
+            this.view.beginRenewal();
+        }
+        if (isReachable !== this.isReachable) {
+            this.isReachable = isReachable;
+            this.listener.onReachability(isReachable, reading.kind === "failed" ? reading.detail : "");
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/fleet/fleetTracker.ts
@@ -0,0 +1,257 @@
+/** Keeps a node's view of the fleet current: two nodes of each failure domain watch the store, the others ask them. */
+import { type UpstreamRecord } from "../../routing/types";
+import { type Clock } from "../../tasks/_lib/clock";
+import { type FleetSource, type SourceListener } from "../source";
+import { FleetState, platformPlace } from "./fleetState";
+import { type RankingPlace } from "./peerRanking";
+import { type ChangesClient, type ChangesQuery, type FleetChanges, type StoreReader, type StoreReading } from "./types";
+
+/**
+ * Time that a watch of the store waits, in milliseconds. A lost answer is noticed only when the watch times out, and a
+ * change has to be in force 2 s after the store has been available for 3 s.
+ */
+const storeWaitMs = 3_500;
+/** Wait of a query that only catches up with the store, in milliseconds. */
+const catchUpWaitMs = 1;
+/** Pause after an answer of the store with changes, in milliseconds. It lets several changes collect. */
+const changeBatchMs = 400;
+/** Time that a query of another node waits for a change, in milliseconds. */
+const peerWaitMs = 500;
+/** Pause between two queries of another node, in milliseconds. */
+const peerPauseMs = 50;
+/** Pause before a node that lies behind or can't reach the store is asked again, in milliseconds. */
+const outdatedPauseMs = 200;
+/** Number of outdated answers in a row after which another node is asked. */
+const maxOutdatedAnswers = 3;
+/** Time for which a node watches the store after it was asked, or while no other node can be asked, in milliseconds. */
+const watchForMs = 3_000;
+/** Mean interval between own queries of the store while the asked nodes can't reach it, in milliseconds. */
+const directIntervalMs = 2_000;
+/** Bounds of the exponential delay before the next query after a failure, in milliseconds, before jitter. */
+const initialRetryDelayMs = 100;
+const maxRetryDelayMs = 1_000;
+/** Longest time that a starting node looks for other nodes to ask, and the mean pause, in milliseconds. */
+const maxLookupMs = 5_000;
+const lookupPauseMs = 500;
+/** Number of lookups that find upstreams, but no other node of the failure domain, before the node gives up. */
+const maxVainLookups = 3;
+/** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
+const expiryCheckMs = 200;
+
+/** Place of a node, its means to read changes, and its sources of time and chance. */
+export interface FleetTrackerOptions extends RankingPlace {
+    /** Id of this node's view, unique over nodes and restarts. */
+    readonly viewId: string;
+    readonly reader: StoreReader;
+    readonly client: ChangesClient;
+    readonly clock: Clock;
+    readonly awaitDelay: (delayMs: number) => Promise<void>;
+    /** Returns a random number in [0, 1). */
+    readonly sampleRandom: () => number;
+}
+
+/** Reads the store, or asks nodes that do, and answers the queries of other nodes. */
+export class FleetTracker implements FleetSource {
+    private state: FleetState | undefined;
+    private isStopped = false;
+    private failureCount = 0;
+    private watchesUntilMs = -Infinity;
+    /** Time of the next own query while the asked nodes can't reach the store; undefined while they can. */
+    private nextDirectAtMs: number | undefined;
+    private outdatedAnswers = 0;
+    private stopExpiry: (() => void) | undefined;
+
+    constructor(private readonly options: FleetTrackerOptions) {}
+
+    start(listener: SourceListener): void {
+        const { clock } = this.options;
+        const state = new FleetState({ ...this.options, readNowMs: clock.readMonotonicMs }, listener);
+        this.state = state;
+        this.stopExpiry = clock.startInterval(expiryCheckMs, () => state.expireMissing());
+        void this.runTracking(state);
+    }
+
+    stop(): void {
+        this.isStopped = true;
+        this.stopExpiry?.();
+        this.options.reader.close();
+        this.options.client.close();
+        this.state?.releaseWaiters();
+    }
+
+    async awaitChanges(query: ChangesQuery): Promise<FleetChanges> {
+        const { viewId } = this.options;
+        if (query.waitMs > 0) {
+            this.watchesUntilMs = Math.max(this.watchesUntilMs, this.readNowMs() + watchForMs);
+        }
+        return await this.state?.awaitChanges(query)
+            ?? { viewId, serial: 0, batch: undefined, table: undefined, isCurrent: false };
+    }
+
+    receivePeers(records: readonly UpstreamRecord[]): void {
+        this.state?.receivePeers(records);
+    }
+
+    private async runTracking(state: FleetState): Promise<void> {
+        await this.findPeers(state);
+        while (!this.isStopped) {
+            const host = this.choosePeer(state);
+            await (host === undefined ? this.watchStore(state) : this.queryPeer(state, host));
+        }
+    }
+
+    /**
+     * Finds other nodes in a stale copy of the store, which is cheap to read, and takes over the view of one of them.
+     * The copy itself isn't used, since it may be older than what the other nodes apply.
+     */
+    private async findPeers(state: FleetState): Promise<void> {
+        const startedAtMs = this.readNowMs();
+        let vainLookups = 0;
+        while (vainLookups < maxVainLookups && this.readNowMs() - startedAtMs < maxLookupMs && !this.isStopped) {
+            const reading = await this.options.reader.readAll({ allowStale: true });
+            if (reading.kind === "batch") {
+                state.ranking.update(reading.batch.records);
+                vainLookups += reading.batch.records.length > 0 ? 1 : 0;
+            }
+            if (await this.takeOverView(state) || state.ranking.hasPeers) {
+                return;
+            }
+            await this.options.awaitDelay(lookupPauseMs * (0.5 + this.options.sampleRandom()));
+        }
+    }
+
+    private async takeOverView(state: FleetState): Promise<boolean> {
+        for (const host of state.ranking.listPeers()) {
+            const changes = await this.options.client.queryChanges(host, state.createQuery(0));
+            if (changes?.batch && state.applyChanges(changes, host)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Chooses the node to ask; returns undefined if this node has to watch the store itself. */
+    private choosePeer({ ranking }: FleetState): string | undefined {
+        const nowMs = this.readNowMs();
+        if (nowMs < this.watchesUntilMs || ranking.isWatcher()) {
+            return undefined;
+        }
+        const [host] = ranking.listPeers();
+        if (host === undefined) {
+            this.watchesUntilMs = nowMs + watchForMs;
+        }
+        return host;
+    }
+
+    private async queryPeer(state: FleetState, host: string): Promise<void> {
+        state.updateReadingStore(false);
+        const changes = await this.options.client.queryChanges(host, state.createQuery(peerWaitMs));
+        if (this.isStopped) {
+            return;
+        }
+        if (!changes) {
+            this.recordPeerFailure(state, host, "no answer");
+            await this.readChanges(state);
+            return;
+        }
+        const isApplied = state.applyChanges(changes, host);
+        this.outdatedAnswers = isApplied ? 0 : this.outdatedAnswers + 1;
+        if (!changes.isCurrent) {
+            await this.readChangesInTurn(state);
+            return;
+        }
+        this.nextDirectAtMs = undefined;
+        if (this.outdatedAnswers >= maxOutdatedAnswers) {
+            this.recordPeerFailure(state, host, "view is behind");
+            return;
+        }
+        state.reportPlace(host, "watches the platform");
+        await this.options.awaitDelay(isApplied ? peerPauseMs : outdatedPauseMs);
+    }
+
+    private recordPeerFailure(state: FleetState, host: string, reason: string): void {
+        this.outdatedAnswers = 0;
+        state.ranking.recordFailure(host);
+        state.reportPlace(platformPlace, `${host}: ${reason}`);
+    }
+
+    /** Reads once what the store has, since no other node has told the changes for a while. */
+    private async readChanges(state: FleetState): Promise<void> {
+        if (!this.applyReading(state, await this.readStore(state, catchUpWaitMs)) && !this.isStopped) {
+            await this.awaitRetryDelay();
+        }
+    }
+
+    /** Reads the store now and then while the asked nodes can't; if that succeeds, this node watches it itself. */
+    private async readChangesInTurn(state: FleetState): Promise<void> {
+        const nowMs = this.readNowMs();
+        const { sampleRandom, awaitDelay } = this.options;
+        this.nextDirectAtMs ??= nowMs + sampleRandom() * directIntervalMs / 2;
+        if (nowMs < this.nextDirectAtMs) {
+            await awaitDelay(outdatedPauseMs);
+            return;
+        }
+        this.nextDirectAtMs = nowMs + directIntervalMs * (0.5 + sampleRandom());
+        if (this.applyReading(state, await this.readStore(state, catchUpWaitMs))) {
+            this.watchesUntilMs = this.readNowMs() + watchForMs;
+        }
+    }
+
+    /** Asks any node of the failure domain, since the store may turn away only some nodes. */
+    private async queryAnyPeer(state: FleetState): Promise<void> {
+        const hosts = state.ranking.listOthers();
+        const host = hosts[Math.floor(this.options.sampleRandom() * hosts.length)];
+        const changes = host === undefined
+            ? undefined
+            : await this.options.client.queryChanges(host, state.createQuery(0));
+        if (changes && !this.isStopped) {
+            state.applyChanges(changes, host!);
+        }
+    }
+
+    private async watchStore(state: FleetState): Promise<void> {
+        const { serial } = state.view;
+        const waitMs = state.isReadingStore ? storeWaitMs : catchUpWaitMs;
+        const reading = await this.readStore(state, waitMs);
+        const isSuccess = this.applyReading(state, reading);
+        if (this.isStopped || reading.kind === "history-lost" && this.failureCount === 1) {
+            return;
+        }
+        state.updateReadingStore(isSuccess);
+        if (!isSuccess) {
+            await this.queryAnyPeer(state);
+            await this.awaitRetryDelay();
+            return;
+        }
+        state.reportPlace(platformPlace, "watches it for other nodes");
+        if (state.view.serial !== serial) {
+            await this.options.awaitDelay(changeBatchMs);
+        }
+    }
+
+    private readStore({ mustReadAll, view }: FleetState, waitMs: number): Promise<StoreReading> {
+        const { reader } = this.options;
+        return mustReadAll || !view.position
+            ? reader.readAll({ allowStale: false })
+            : reader.watch(view.position, waitMs);
+    }
+
+    private applyReading(state: FleetState, reading: StoreReading): boolean {
+        if (this.isStopped) {
+            return false;
+        }
+        const isSuccess = state.applyReading(reading);
+        this.failureCount = isSuccess ? 0 : this.failureCount + 1;
+        return isSuccess;
+    }
+
+    private awaitRetryDelay(): Promise<void> {
+        const { awaitDelay, sampleRandom } = this.options;
+        const delayMs = Math.min(maxRetryDelayMs, initialRetryDelayMs * 2 ** Math.min(this.failureCount - 1, 8));
+        return awaitDelay(delayMs * (0.5 + sampleRandom() / 2));
+    }
+
+    private readNowMs(): number {
+        return this.options.clock.readMonotonicMs();
+    }
+}
--- /dev/null
+++ b/src/relay/fleet/fleetView.ts
@@ -0,0 +1,177 @@
+/** What a node knows of the upstreams, and since when in the history of the store. */
+import { comparePositions } from "../../decisions/comparePositions";
+import { isOutdatedRecord } from "../../decisions/isOutdatedRecord";
+import { type GoneRecord, type StorePosition, type UpstreamRecord } from "../../routing/types";
+import { type FleetBatch } from "./types";
+
+/** Maximum number of removed upstreams that are remembered. */
+const maxGoneRecords = 4_096;
+/**
+ * Time that upstreams get to write their entries again after an outage of the store or after its return from an older
+ * copy, in milliseconds.
+ */
+const renewalGraceMs = 2_200;
+
+/** Result of applying a batch. */
+export type ApplyResult =
+    | "applied"
+    /** The batch is older than the view. */
+    | "outdated"
+    /** The batch lists only changes, but follows on another era or on nothing. */
+    | "gap";
+
+/** Position in the changes of one view, as another node keeps it. */
+export interface ViewCursor {
+    readonly viewId: string;
+    readonly serial: number;
+}
+
+/** Applies batches in the order of their positions, and lists the changes since a cursor. */
+export class FleetView {
+    private readonly records = new Map<string, UpstreamRecord>();
+    private readonly gone = new Map<string, GoneRecord>();
+    /** Serial of the last change of each present or remembered upstream. */
+    private readonly serials = new Map<string, number>();
+    /** Monotonic times at which missing upstreams will be removed, in milliseconds. */
+    private readonly removalTimes = new Map<string, number>();
+    private currentPosition: StorePosition | undefined;
+    private currentSerial = 0;
+    /** Highest serial of a removed upstream that has been forgotten. */
+    private forgottenSerial = 0;
+    private renewalEndsAtMs = -Infinity;
+
+    constructor(private readonly id: string, private readonly readNowMs: () => number) {}
+
+    get position(): StorePosition | undefined {
+        return this.currentPosition;
+    }
+
+    get serial(): number {
+        return this.currentSerial;
+    }
+
+    list(): readonly UpstreamRecord[] {
+        return [...this.records.values()];
+    }
+
+    /** Begins the time in which missing upstreams are kept, since they may not have been able to renew their entries. */
+    beginRenewal(): void {
+        this.renewalEndsAtMs = this.readNowMs() + renewalGraceMs;
+    }
+
+    /** Applies a batch unless it is older than the view or doesn't follow on it. */
+    apply(batch: FleetBatch): ApplyResult {
+        const known = this.currentPosition;
+        if (known && comparePositions(batch.position, known) < 0) {
+            return "outdated";
+        }
+        if (!batch.isFull && known?.era !== batch.position.era) {
+            return "gap";
+        }
+        const isRestored = known === undefined || known.era < batch.position.era;
+        if (known && isRestored) {
+            this.beginRenewal();
+        }
+        this.currentPosition = batch.position;
+        batch.gone.forEach(gone => this.recordGone(gone));
+        batch.records.forEach(record => this.applyRecord(record, isRestored));
+        if (batch.isFull) {
+            const listedIds = new Set(batch.records.map(({ id }) => id));
+            [...this.records.keys()].filter(id => !listedIds.has(id)).forEach(id => this.removeMissing(id));
+        }
+        batch.removedIds.forEach(id => this.removeMissing(id));
+        return "applied";
+    }
+
+    /** Removes the upstreams whose time to renew their entries is over; returns whether there were any. */
+    expireMissing(): boolean {
+        const nowMs = this.readNowMs();
+        const dueIds = [...this.removalTimes].filter(([, atMs]) => atMs <= nowMs).map(([id]) => id);
+        dueIds.forEach(id => this.remove(id));
+        return dueIds.length > 0;
+    }
+
+    /** Lists the changes since a cursor, or everything if the cursor belongs to another view or is too old. */
+    listChanges(cursor: ViewCursor): FleetBatch | undefined {
+        if (!this.currentPosition) {
+            return undefined;
+        }
+        const isFull = cursor.viewId !== this.id || cursor.serial < this.forgottenSerial
+            || cursor.serial > this.currentSerial;
+        const isChanged = ({ id }: { readonly id: string; }): boolean =>
+            isFull || this.serials.get(id)! > cursor.serial;
+        const gone = [...this.gone.values()].filter(isChanged);
+        return {
+            position: this.currentPosition,
+            isFull,
+            records: this.list().filter(isChanged),
+            removedIds: gone.map(({ id }) => id),
+            gone,
+        };
+    }
+
+    private applyRecord(record: UpstreamRecord, isRestored: boolean): void {
+        const { id } = record;
+        const known = this.records.get(id);
+        // A copy of the store lists upstreams as they were, even if they have left or begun to drain since.
+        if (isRestored && this.isKnownBetter(record, known)) {
+            return;
+        }
+        this.removalTimes.delete(id);
+        this.gone.delete(id);
+        this.records.set(id, record);
+        this.recordChange(id);
+    }
+
+    private isKnownBetter(record: UpstreamRecord, known: UpstreamRecord | undefined): boolean {
+        const gone = this.gone.get(record.id);
+        return known !== undefined && isOutdatedRecord(record, known)
+            || gone !== undefined && !isOutdatedRecord(gone, record);
+    }
+
+    /** Removes an upstream that is no longer listed, unless it still has time to renew its entry. */
+    private removeMissing(id: string): void {
+        if (!this.records.has(id)) {
+            return;
+        }
+        if (this.readNowMs() >= this.renewalEndsAtMs) {
+            this.remove(id);
+            return;
+        }
+        this.removalTimes.set(id, this.renewalEndsAtMs);
+    }
+
+    private remove(id: string): void {
+        const { bornAtMs, sequence } = this.records.get(id)!;
+        this.removalTimes.delete(id);
+        this.records.delete(id);
+        this.gone.set(id, { id, bornAtMs, sequence });
+        this.recordChange(id);
+        this.removeOldestGone();
+    }
+
+    private recordGone(gone: GoneRecord): void {
+        const known = this.gone.get(gone.id) ?? this.records.get(gone.id);
+        if (known && (this.records.has(gone.id) || isOutdatedRecord(gone, known))) {
+            return;
+        }
+        this.gone.set(gone.id, gone);
+        this.recordChange(gone.id);
+        this.removeOldestGone();
+    }
+
+    private recordChange(id: string): void {
+        this.currentSerial += 1;
+        this.serials.set(id, this.currentSerial);
+    }
+
+    private removeOldestGone(): void {
+        const [oldestId] = this.gone.keys();
+        if (this.gone.size <= maxGoneRecords || oldestId === undefined) {
+            return;
+        }
+        this.forgottenSerial = Math.max(this.forgottenSerial, this.serials.get(oldestId)!);
+        this.gone.delete(oldestId);
+        this.serials.delete(oldestId);
+    }
+}
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -110,6 +110,7 @@
             }),
             onControl: createControlHandler({
                 readView: () => ({ table: this.routing.table, upstreams: this.directory.list() }),
+                awaitChanges: query => this.source.awaitChanges(query),
                 receiveSuspect: (fingerprint, node) => this.poisonGuard.receiveSuspect(fingerprint, node),
             }),
             linkDependencies: {
@@ -122,7 +123,7 @@
         this.peers.start();
         this.pauseGuard.start();
         this.source.start({
-            onRouting: table => void this.routing.adopt(table, "platform"),
+            onRouting: (table, from) => void this.routing.adopt(table, from),
             onUpstreams: records => {
                 this.hasSourceRecords = true;
                 this.updateUpstreams(records);
@@ -130,15 +131,17 @@
             onReachability: (isReachable, detail) =>
                 this.log.writeAlways(isReachable ? "platform-reached" : "platform-lost", { detail }),
             onUnreadable: (key, detail) => this.log.write("entry-unreadable", { key, detail }),
+            onReadingFrom: (place, reason) => this.log.write("fleet-read-from", { place, reason }),
+            onEra: (era, revision) => this.log.writeAlways("platform-restored", { era, revision }),
+            readTable: () => this.routing.table,
         });
     }
 
     /** Applies changed settings. The listeners, the retry budget and the failure domain keep their initial settings. */
     updateSettings(settings: RelaySettings): void {
-        const previous = this.settings;
+        const { upstream: previous } = this.settings;
         this.settings = settings;
-        const isUpstreamMoved = previous.upstream.host !== settings.upstream.host
-            || previous.upstream.port !== settings.upstream.port;
+        const isUpstreamMoved = previous.host !== settings.upstream.host || previous.port !== settings.upstream.port;
         if (isUpstreamMoved) {
             this.upstreamPool.close();
             this.upstreamPool = new ConnectionPool(settings.upstream, { readNowMs: this.clock.readMonotonicMs });
@@ -179,6 +182,7 @@
                 }
                 if (!this.hasSourceRecords && view.upstreams.length > 0) {
                     this.updateUpstreams(view.upstreams);
+                    this.source.receivePeers(view.upstreams);
                 }
             },
             onFailed: host => this.log.write("view-unavailable", { host, version: this.routing.version }),
@@ -291,7 +295,6 @@
     }
 
     private reportAdoption(table: RoutingTable, from: string): void {
-        const { version, routes } = table;
-        this.log.writeAlways("routing-adopted", { version, routes: routes.length, source: from });
+        this.log.writeAlways("routing-adopted", { version: table.version, routes: table.routes.length, source: from });
     }
 }
--- a/src/relay/source.ts
+++ b/src/relay/source.ts
@@ -1,19 +1,31 @@
-/** Interface of a source of routing tables and upstream records, such as the platform. */
+/** Interface of a source of routing tables and upstream records. */
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { type ChangesQuery, type FleetChanges } from "./fleet/types";
 
 /** Receives the tables and records that a source reads, and its errors. */
 export interface SourceListener {
-    readonly onRouting: (table: RoutingTable) => void;
+    /** Called with a table and the host of the node that sent it, or "platform". */
+    readonly onRouting: (table: RoutingTable, from: string) => void;
     /** Called with all records whenever one has changed. */
     readonly onUpstreams: (records: readonly UpstreamRecord[]) => void;
     /** Called when the source becomes reachable or unreachable; `detail` is for the log. */
     readonly onReachability: (isReachable: boolean, detail: string) => void;
     /** Called with the key of an entry that can't be parsed, and with the cause. */
     readonly onUnreadable: (key: string, detail: string) => void;
+    /** Called when the node reads changes from another place: a node's host, or "platform". */
+    readonly onReadingFrom: (place: string, reason: string) => void;
+    /** Called when the store has been restored from an older copy. */
+    readonly onEra: (era: number, revision: number) => void;
+    /** Returns the routing table that the node applies. */
+    readonly readTable: () => RoutingTable | undefined;
 }
 
-/** Reads routing tables and upstream records and reports each change to its listener. */
+/** Reads routing tables and upstream records, reports each change to its listener, and passes changes on. */
 export interface FleetSource {
     start(listener: SourceListener): void;
     stop(): void;
+    /** Waits for changes since the cursor of another node's query. */
+    awaitChanges(query: ChangesQuery): Promise<FleetChanges>;
+    /** Takes in records that another node has sent, to find nodes to ask. */
+    receivePeers(records: readonly UpstreamRecord[]): void;
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -61,4 +61,16 @@
     readonly warmupLeftMs: number;
     /** Start of the upstream's current incarnation, in milliseconds since 1970. */
     readonly bornAtMs: number;
+    /** Number of times that this incarnation has written its record; starts anew with each incarnation. */
+    readonly sequence: number;
+}
+
+/** Latest known state of an upstream whose record has been removed. */
+export type GoneRecord = Pick<UpstreamRecord, "id" | "bornAtMs" | "sequence">;
+
+/** Position in the history of the platform's store. Revisions are comparable only within an era. */
+export interface StorePosition {
+    /** Number of times that the store has been restored from an older copy. */
+    readonly era: number;
+    readonly revision: number;
 }
--- a/src/testing/createRoute.ts
+++ b/src/testing/createRoute.ts
@@ -32,5 +32,6 @@
     state: "ready",
     warmupLeftMs: 0,
     bornAtMs: 0,
+    sequence: 0,
     ...overrides,
 });
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -8,6 +8,7 @@
 } from "node:http";
 import { type AddressInfo, type Socket } from "node:net";
 import pino from "pino";
+import { type FleetChanges } from "../relay/fleet/types";
 import { RelayNode } from "../relay/node";
 import { type FleetSource, type SourceListener } from "../relay/source";
 import { type HeaderNames, type RelaySettings } from "../relay/types";
@@ -40,10 +41,18 @@
         this.listener = undefined;
     }
 
+    awaitChanges(): Promise<FleetChanges> {
+        return Promise.resolve({ viewId: "", serial: 0, batch: undefined, table: undefined, isCurrent: false });
+    }
+
+    receivePeers(): void {
+        // A fake source asks no nodes.
+    }
+
     /** Publishes a routing table, a list of upstreams, or both; an undefined argument is skipped. */
     publish(table: RoutingTable | undefined, upstreams: readonly UpstreamRecord[] | undefined): void {
         if (table) {
-            this.listener?.onRouting(table);
+            this.listener?.onRouting(table, "test");
         }
         if (upstreams) {
             this.listener?.onUpstreams(upstreams);
--- /dev/null
+++ b/src/testing/virtualTrackers.ts
@@ -0,0 +1,113 @@
+/** Nodes that track the fleet over a virtual network, each with an upstream in the virtual store. */
+import { createRandom } from "../_lib/createRandom";
+import { FleetTracker } from "../relay/fleet/fleetTracker";
+import { type FleetChanges } from "../relay/fleet/types";
+import { type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { createUpstreamRecord } from "./createRoute";
+import { VirtualClock } from "./virtualClock";
+import { VirtualStore } from "./virtualStore";
+
+const hopMs = 1;
+const queryTimeoutMs = 900;
+const stepMs = 10;
+
+/** A node that tracks the fleet. */
+export interface TrackerNode {
+    readonly host: string;
+    readonly failureDomain: string;
+    readonly tracker: FleetTracker;
+    table: RoutingTable | undefined;
+    records: readonly UpstreamRecord[];
+    /** Whether other nodes get no answer from the node. */
+    isSilent: boolean;
+}
+
+/** Starts nodes and runs them on a virtual clock. */
+export class VirtualTrackers {
+    readonly clock = new VirtualClock();
+    readonly store = new VirtualStore(this.clock);
+    readonly nodes: TrackerNode[] = [];
+    private readonly awaitDelay = (delayMs: number): Promise<void> =>
+        new Promise(resolve => this.clock.schedule(delayMs, resolve));
+
+    /** Registers the upstreams of `count` nodes over two failure domains, and starts the nodes. */
+    constructor(count: number) {
+        const indexes = Array.from({ length: count }, (unused, index) => index);
+        indexes.forEach(index => this.store.write(this.createRecord(index)));
+        indexes.forEach(index => this.startNode(index));
+    }
+
+    /** Creates the record of the upstream beside a node. */
+    createRecord(index: number, changes: Partial<UpstreamRecord> = {}): UpstreamRecord {
+        const failureDomain = index % 2 === 0 ? "a" : "b";
+        return createUpstreamRecord({ id: `i-${index}`, host: `10.0.0.${index}`, failureDomain, ...changes });
+    }
+
+    /** Starts a node, as at first or after a restart that has lost all that the node knew. */
+    startNode(index: number): TrackerNode {
+        const { host, failureDomain } = this.createRecord(index);
+        const seed = index + 1_000 * this.nodes.length;
+        const tracker = new FleetTracker({
+            host,
+            failureDomain,
+            viewId: `${host}/${seed}`,
+            reader: this.store.createReader(host),
+            client: {
+                queryChanges: (peer, query) =>
+                    Promise.race([
+                        this.forwardQuery(peer, node => node.tracker.awaitChanges(query)),
+                        this.awaitDelay(queryTimeoutMs).then(() => undefined),
+                    ]),
+                close: () => undefined,
+            },
+            clock: this.clock,
+            awaitDelay: this.awaitDelay,
+            sampleRandom: createRandom(seed),
+        });
+        const node: TrackerNode = { host, failureDomain, tracker, table: undefined, records: [], isSilent: false };
+        this.nodes[index]?.tracker.stop();
+        this.nodes[index] = node;
+        tracker.start({
+            onRouting: table => {
+                node.table = table;
+            },
+            onUpstreams: records => {
+                node.records = records;
+            },
+            onReachability: () => undefined,
+            onUnreadable: () => undefined,
+            onReadingFrom: () => undefined,
+            onEra: () => undefined,
+            readTable: () => node.table,
+        });
+        return node;
+    }
+
+    /** Advances the clock, and lets the promises that have become due continue at each step. */
+    async runFor(durationMs: number): Promise<void> {
+        const untilMs = this.clock.readMonotonicMs() + durationMs;
+        while (this.clock.readMonotonicMs() < untilMs) {
+            this.clock.runUntil(this.clock.readMonotonicMs() + stepMs);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    stop(): void {
+        this.nodes.forEach(({ tracker }) => tracker.stop());
+    }
+
+    private async forwardQuery(
+        host: string,
+        query: (node: TrackerNode) => Promise<FleetChanges>,
+    ): Promise<FleetChanges | undefined> {
+        await this.awaitDelay(hopMs);
+        const node = this.nodes.find(candidate => candidate.host === host);
+        if (!node || node.isSilent) {
+            return new Promise(() => undefined);
+        }
+        const changes = await query(node);
+        await this.awaitDelay(hopMs);
+        // Answers cross the network as text.
+        return node.isSilent ? new Promise(() => undefined) : JSON.parse(JSON.stringify(changes)) as FleetChanges;
+    }
+}
