Close the connection of an upstream that sends bytes without end

Cause: once an answer was longer than 256 KiB, the entry forgot its deadline and no longer noticed when the caller left; a request that may run once was never broken off at its upstream. An upstream in trouble could hold a slot, two links and a caller's connection for as long as it sent. Each chunk that a full sink refused added a listener. Ruled out: heads, interim answers, trailers and bytes that are no HTTP are bounded by the parser already (tests). Change: a streamed answer ends at the caller's deadline or when the caller leaves, also at the upstream; any other request is broken off at the upstream half a second after its deadline; one pending callback a full sink. Streams count as pending at a stop. Tests: endlessBytes.test.ts, eight kinds of endless bytes for both kinds of route, a caller that leaves, a long whole answer.

--- /dev/null
+++ b/src/relay/endlessBytes.test.ts
@@ -0,0 +1,136 @@
+/** An upstream in trouble may send bytes that are no answer, or an answer that never ends, until its caller closes. */
+import { connect, type Socket } from "node:net";
+import { createRoute, createRoutingTable } from "../testing/createRoute";
+import {
+    awaitUntil,
+    type RelayFleet,
+    sendOkAnswer,
+    sendToEntry,
+    startRelayFleet,
+    testHeaderNames,
+    type UpstreamHandler,
+} from "../testing/startRelayFleet";
+
+const table = createRoutingTable(3, [
+    createRoute({ maxUpstreams: 1 }),
+    createRoute({ name: "booking", prefix: "/booking/", idempotent: false, maxUpstreams: 1 }),
+]);
+const deadlineMs = 400;
+/** Time after the deadline within which the connection to the upstream has to be closed, in milliseconds. */
+const closeWithinMs = 2_000;
+
+jest.setTimeout(10_000);
+
+let fleet: RelayFleet;
+/** Sockets over which an upstream sends without end. */
+let endlessSockets: Socket[];
+
+beforeEach(() => {
+    endlessSockets = [];
+});
+
+afterEach(() => fleet.stop());
+
+/** Writes `start`, then `filler` again and again until the connection is closed. */
+const writeEndlessly = (start: (requestId: string) => string, filler: string): UpstreamHandler => request => {
+    const { socket } = request;
+    endlessSockets.push(socket);
+    socket.write(start(String(request.headers[testHeaderNames.requestId])));
+    const block = filler.repeat(Math.ceil(8_192 / filler.length));
+    const writeMore = (): void => {
+        if (!socket.destroyed) {
+            socket.write(block, () => setTimeout(writeMore, 2));
+        }
+    };
+    writeMore();
+};
+
+/** Starts a fleet whose second node has an upstream that sends without end to requests for `/…/endless`. */
+const startFleet = async (writeEndless: UpstreamHandler): Promise<void> => {
+    fleet = await startRelayFleet([["gate", sendOkAnswer], ["desk", (request, response) => {
+        const handle = request.url!.endsWith("/endless") ? writeEndless : sendOkAnswer;
+        handle(request, response);
+    }]]);
+    fleet.publish(table);
+};
+
+const isEachSocketClosed = (): boolean =>
+    endlessSockets.length > 0 && endlessSockets.every(({ destroyed }) => destroyed);
+
+const cases: readonly (readonly [name: string, start: (requestId: string) => string, filler: string])[] = [
+    ["bytes that are no HTTP", () => "", "\u0000\u0001\u0002\u0003"],
+    ["a status line", () => "HTTP/1.1 200 ", "OK"],
+    ["a head", () => "HTTP/1.1 200 OK\r\n", "x-filler: filler\r\n"],
+    ["interim answers", () => "", "HTTP/1.1 100 Continue\r\n\r\n"],
+    [
+        "a chunk extension",
+        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n5;`,
+        "extension",
+    ],
+    [
+        "trailers",
+        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n`,
+        "x-filler: filler\r\n",
+    ],
+    [
+        "chunks",
+        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+        "5\r\nhello\r\n",
+    ],
+    [
+        "a body without a length",
+        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nConnection: close\r\n\r\n`,
+        "hello",
+    ],
+];
+
+describe.each(cases)("%s without end", (unused, start, filler) => {
+    it.each(["lookup", "booking"])("ends at the deadline of a %s, without a complete answer", async route => {
+        await startFleet(writeEndlessly(start, filler));
+        const [gate] = fleet.members;
+        const path = `/${route}/endless`;
+        const startedAtMs = performance.now();
+        const answer = await sendToEntry(gate!, { path, method: route === "booking" ? "POST" : "GET", deadlineMs });
+        expect([0, 502, 504]).toContain(answer.status);
+        await awaitUntil(isEachSocketClosed);
+        expect(performance.now() - startedAtMs).toBeLessThan(deadlineMs + closeWithinMs);
+        expect(endlessSockets).toHaveLength(1);
+        expect((await sendToEntry(gate!, { id: "r-2" })).status).toBe(200);
+    });
+});
+
+describe("a caller that leaves in the middle of a long answer", () => {
+    it.each(["lookup", "booking"])("ends the answer of a %s at the upstream", async route => {
+        const start = (id: string): string =>
+            `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+        await startFleet(writeEndlessly(start, "5\r\nhello\r\n"));
+        const { host, port } = fleet.members[0]!.settings.entry;
+        const caller = connect(port, host);
+        caller.write([
+            `${route === "booking" ? "POST" : "GET"} /${route}/endless HTTP/1.1`,
+            "Host: desk.example",
+            `${testHeaderNames.requestId}: r-1`,
+            `${testHeaderNames.deadline}: 60000`,
+            "Content-Length: 0",
+            "\r\n",
+        ].join("\r\n"));
+        await new Promise(resolve => caller.once("data", resolve));
+        caller.destroy();
+        await awaitUntil(isEachSocketClosed);
+        expect(endlessSockets).toHaveLength(1);
+    });
+});
+
+describe("a body that is long and complete", () => {
+    it("reaches the caller whole through both nodes", async () => {
+        const body = "0123456789".repeat(200_000);
+        fleet = await startRelayFleet([["gate", sendOkAnswer], ["desk", (request, response) => {
+            response.writeHead(200, { [testHeaderNames.requestId]: "r-1" });
+            response.end(body);
+        }]]);
+        fleet.publish(table);
+        const answer = await sendToEntry(fleet.members[0]!, { deadlineMs: 4_000 });
+        expect(answer.status).toBe(200);
+        expect(answer.body === body).toBe(true);
+    });
+});
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -37,6 +37,8 @@
     private deadlineAtMs = 0;
     private sender: RequestSender | undefined;
     private isComplete = false;
+    /** Whether the head of the answer has been sent and its body is being streamed. */
+    private isStreaming = false;
     private deadlineTimeout: Timeout | undefined;
 
     constructor(
@@ -75,10 +77,17 @@
     }
 
     openStream(head: AnswerHead): AnswerSink {
-        this.isComplete = true;
+        this.isStreaming = true;
+        // The timeout of the route limits the wait for an answer; the caller may read a long one until its deadline.
+        const { wheel, readNowMs } = this.dependencies;
+        wheel.remove(this.deadlineTimeout);
+        const remainingMs = this.startedAtMs + this.parseDeadlineMs() - readNowMs();
+        this.deadlineTimeout = wheel.add(remainingMs + expiryMarginMs, () => this.expire());
         this.request.sink.start(head);
-        this.end("streamed", head.status);
-        return new StartedSink(this.request.sink);
+        return new CallStream(this.request.sink, outcome => {
+            this.isComplete = true;
+            this.end(outcome, head.status);
+        });
     }
 
     finish({ result, upstreamId, mayHaveRun }: SendResult): void {
@@ -112,7 +121,7 @@
         if (!route) {
             return describeUnknownRoute(host, routing.version);
         }
-        this.deadlineAtMs = this.startedAtMs + this.computeAllowedMs(route) - readStaleMs();
+        this.deadlineAtMs = this.startedAtMs + Math.min(this.parseDeadlineMs(), route.timeoutMs) - readStaleMs();
         if (this.deadlineAtMs <= this.startedAtMs) {
             return describeDeadlineExceeded(false);
         }
@@ -125,12 +134,11 @@
         return describeShed(shedding.readAdmissionProbability(route.name), route.targetLatencyMs, sampleRandom());
     }
 
-    private computeAllowedMs(route: Route): number {
+    private parseDeadlineMs(): number {
         const requestedDeadlineMs = Number(findHeader(this.request.rawHeaders, this.dependencies.headerNames.deadline));
-        const deadlineMs = Number.isFinite(requestedDeadlineMs) && requestedDeadlineMs > 0
+        return Number.isFinite(requestedDeadlineMs) && requestedDeadlineMs > 0
             ? requestedDeadlineMs
             : defaultDeadlineMs;
-        return Math.min(deadlineMs, route.timeoutMs);
     }
 
     private send(body: RequestBody): void {
@@ -165,7 +173,9 @@
             return;
         }
         const wasSent = this.sender?.cancel("timeout") ?? false;
-        this.refuse(describeDeadlineExceeded(wasSent));
+        if (!this.isStreaming) {
+            this.refuse(describeDeadlineExceeded(wasSent));
+        }
     }
 
     /** Cancels the hops after the sender has closed the connection; upstreams may complete non-idempotent requests. */
@@ -173,9 +183,11 @@
         if (this.isComplete) {
             return;
         }
-        this.isComplete = true;
         this.sender?.cancel("cancelled");
-        this.end("cancelled", 0);
+        if (!this.isStreaming) {
+            this.isComplete = true;
+            this.end("cancelled", 0);
+        }
     }
 
     private refuse(problem: Problem): void {
@@ -203,3 +215,29 @@
         this.onComplete();
     }
 }
+
+/** Writes a streamed answer to the caller and reports its end. */
+class CallStream extends StartedSink {
+    private isEnded = false;
+
+    constructor(sink: AnswerSink, private readonly onEnded: (outcome: "streamed" | "broken-off") => void) {
+        super(sink);
+    }
+
+    override end(): void {
+        super.end();
+        this.finishOnce("streamed");
+    }
+
+    override abort(): void {
+        super.abort();
+        this.finishOnce("broken-off");
+    }
+
+    private finishOnce(outcome: "streamed" | "broken-off"): void {
+        if (!this.isEnded) {
+            this.isEnded = true;
+            this.onEnded(outcome);
+        }
+    }
+}
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -4,6 +4,7 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptHandler, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
 import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
+import { type Timeout, type TimerWheel } from "../../tasks/_lib/timerWheel";
 import { AnswerBuffer } from "../_lib/answerBuffer";
 import { type ActiveRequest, type ActiveRequests, computeNestedCongestion } from "../activeRequests";
 import { type SlotGrant, type SlotQueue, type SlotRequest } from "../slotQueue";
@@ -14,6 +15,7 @@
     readonly headerNames: HeaderNames;
     readonly upstream: Dispatch;
     readonly slots: SlotQueue;
+    readonly wheel: TimerWheel;
     readonly readNowMs: () => number;
     /** Whether the request must not run because it has crashed upstreams. */
     readonly isQuarantined: (hopRequest: HopRequest) => boolean;
@@ -43,6 +45,11 @@
 const minAttemptMs = 5;
 /** Time by which the deadline sent to the upstream is earlier, so that its answer arrives in time, in milliseconds. */
 const answerReturnMarginMs = 5;
+/**
+ * Time after the deadline at which the connection to the upstream is closed, in milliseconds. An upstream stops by
+ * itself at the deadline, unless it is in such trouble that it sends bytes without end.
+ */
+const overdueAbortMs = 500;
 /** An upstream answers with this status if the target header of the request holds the id of another upstream. */
 const misdirectedStatus = 421;
 const identityEncodings: ReadonlySet<string> = new Set(["", "identity"]);
@@ -63,6 +70,8 @@
     private activeRequest: ActiveRequest | undefined;
     private grant: SlotGrant | undefined;
     private queuedAtMs = 0;
+    private isStreaming = false;
+    private overdueTimeout: Timeout | undefined;
 
     constructor(
         private readonly hopRequest: HopRequest,
@@ -74,7 +83,10 @@
         this.rank = hopRequest.rank;
         this.targetLatencyMs = hopRequest.targetLatencyMs;
         this.deadlineAtMs = hopRequest.deadlineAtMs;
-        this.buffer = new AnswerBuffer(head => handler.openStream(head));
+        this.buffer = new AnswerBuffer(head => {
+            this.isStreaming = true;
+            return handler.openStream(head);
+        });
     }
 
     start(): void {
@@ -105,7 +117,8 @@
 
     /**
      * Cancels the request because its sender no longer waits for the answer. A request at the upstream is aborted only
-     * if it is idempotent. Any other request continues, so that the upstream does not leave it half executed.
+     * if it is idempotent or its answer is being streamed. Any other request continues, so that the upstream does not
+     * leave it half executed.
      */
     cancel(): void {
         if (this.isSettled) {
@@ -116,7 +129,7 @@
             this.settle({ kind: "not-run", reason: "expired" });
             return;
         }
-        if (this.hopRequest.idempotent) {
+        if (this.hopRequest.idempotent || this.isStreaming) {
             this.attempt.abort("cancelled");
         }
     }
@@ -137,6 +150,10 @@
         const rawHeaders = this.createUpstreamHeaders();
         this.activeRequest = this.dependencies.activeRequests.add(this.hopRequest);
         this.attempt = new Attempt(method, this, true);
+        this.overdueTimeout = this.dependencies.wheel.add(
+            this.computeRemainingMs() + overdueAbortMs,
+            () => this.abortOverdue(),
+        );
         sendAttempt(this.dependencies.upstream, { method, path, rawHeaders, body, idempotent }, this.attempt);
     }
 
@@ -153,6 +170,7 @@
     }
 
     finish(result: AttemptResult): void {
+        this.dependencies.wheel.remove(this.overdueTimeout);
         this.releaseSlot(result.kind === "answered");
         this.dependencies.activeRequests.remove(this.hopRequest.requestId, this.activeRequest!);
         if (result.kind === "answered") {
@@ -164,6 +182,13 @@
         this.settle(this.deriveResult(result));
     }
 
+    /** Closes the connection of an overdue request. A stream ends with its caller, whose deadline may be later. */
+    private abortOverdue(): void {
+        if (!this.isStreaming) {
+            this.attempt!.abort("timeout");
+        }
+    }
+
     private deriveResult(result: AttemptResult): HopResult {
         if (result.kind === "unsent") {
             return { kind: "not-run", reason: result.cause === "connection" ? "down" : "expired" };
--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -25,6 +25,8 @@
     readonly hopRequest: HopRequest;
     readonly handler: HopHandler;
     isSent: boolean;
+    /** Whether the other node has been told to pause the stream. */
+    isPaused: boolean;
     sink: AnswerSink | undefined;
     answer: HopAnswerFields | undefined;
 }
@@ -66,7 +68,14 @@
     send(hopRequest: HopRequest, handler: HopHandler): (cause: "timeout" | "cancelled" | "connection") => void {
         this.lastId += 1;
         const id = this.lastId;
-        const pending: PendingRequest = { hopRequest, handler, isSent: false, sink: undefined, answer: undefined };
+        const pending: PendingRequest = {
+            hopRequest,
+            handler,
+            isSent: false,
+            isPaused: false,
+            sink: undefined,
+            answer: undefined,
+        };
         this.pendingRequests.set(id, pending);
         if (this.isConnected) {
             this.sendRequestFrame(id, pending);
@@ -159,12 +168,17 @@
         });
     }
 
-    private forwardChunk(id: number, { sink }: PendingRequest, chunk: Buffer): void {
-        if (!sink || sink.write(chunk)) {
+    private forwardChunk(id: number, pending: PendingRequest, chunk: Buffer): void {
+        const { sink } = pending;
+        if (!sink || sink.write(chunk) || pending.isPaused) {
             return;
         }
+        pending.isPaused = true;
         this.frames.write([frameKinds.pause, id]);
-        sink.onDrain(() => this.frames.write([frameKinds.resume, id]));
+        sink.onDrain(() => {
+            pending.isPaused = false;
+            this.frames.write([frameKinds.resume, id]);
+        });
     }
 
     private takePending(id: number): PendingRequest | undefined {
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -211,6 +211,7 @@
             headerNames,
             upstream: { dispatch: (options, handler) => this.upstreamPool.dispatch(options, handler) },
             slots: this.slots,
+            wheel: this.wheel,
             readNowMs: this.clock.readMonotonicMs,
             readStaleMs: () => this.pauseGuard.readStaleMs(),
             isQuarantined: hopRequest => this.poisonGuard.isQuarantined(hopRequest),
@@ -273,9 +274,7 @@
         this.retryBudgets.updateNodeCount(new Set(records.map(({ host }) => host)).size);
         const { host, port } = this.settings.upstream;
         const ownRecord = this.directory.findByAddress(host, port);
-        if (ownRecord) {
-            this.slots.updateSlots(ownRecord.slots);
-        }
+        this.slots.updateSlots(ownRecord?.slots);
         this.upstreamLeaving.update(ownRecord?.state);
         this.log.write("upstreams-read", {
             total: records.length,
--- a/src/relay/slotQueue/index.ts
+++ b/src/relay/slotQueue/index.ts
@@ -73,8 +73,11 @@
 
     constructor(private readonly wheel: TimerWheel, private readonly readNowMs: () => number) {}
 
-    /** Sets the concurrency limit from the number of slots that the upstream declares. */
-    updateSlots(slots: number): void {
+    /** Sets the concurrency limit from the number of slots that the upstream declares; keeps it if that is unknown. */
+    updateSlots(slots: number | undefined): void {
+        if (slots === undefined) {
+            return;
+        }
         this.limit = Math.max(1, Math.floor(slots * usedSlotShare));
         this.runQueued();
     }
--- a/src/tasks/_lib/attempt.ts
+++ b/src/tasks/_lib/attempt.ts
@@ -60,6 +60,8 @@
     private head: AnswerHead | undefined;
     private sink: AnswerSink | undefined;
     private isSent = false;
+    /** Whether the sink will call back when it accepts more data. Chunks may arrive until the connection pauses. */
+    private isPaused = false;
     private isFinished = false;
 
     /**
@@ -112,8 +114,12 @@
             return true;
         }
         const acceptsMore = this.sink.write(chunk);
-        if (!acceptsMore) {
-            this.sink.onDrain(this.resume);
+        if (!acceptsMore && !this.isPaused) {
+            this.isPaused = true;
+            this.sink.onDrain(() => {
+                this.isPaused = false;
+                this.resume();
+            });
         }
         return acceptsMore;
     }
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -92,6 +92,7 @@
                 request => this.upstream.handle(request),
             ),
             slots: slotQueue,
+            wheel,
             isQuarantined: () => false,
             onConnectionLost: () => undefined,
             onForeignAnswer: () => undefined,
