--- a/src/relay/fleet/fleetTracker.test.ts
+++ b/src/relay/fleet/fleetTracker.test.ts
@@ -142,4 +142,14 @@
         expect(listIds(restarted)).toHaveLength(19);
         expect(restarted.table?.version).toBe(1);
     });
+
+    it("is ready at once when all nodes restart together", async () => {
+        const { nodes } = await startFleet(40);
+        nodes.forEach((unused, index) => fleet.startNode(index));
+        await fleet.runFor(250);
+        nodes.forEach(node => {
+            expect(listIds(node)).toHaveLength(40);
+            expect(node.table?.version).toBe(1);
+        });
+    });
 });
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -33,6 +33,8 @@
 /** Longest time that a starting node looks for other nodes to ask, and the mean pause, in milliseconds. */
 const maxLookupMs = 5_000;
 const lookupPauseMs = 500;
+/** Longest time that a restarting node waits for the view of another node before it uses the store's, in milliseconds. */
+const maxTakeOverMs = 150;
 /** Number of lookups that find upstreams, but no other node of the failure domain, before the node gives up. */
 const maxVainLookups = 3;
 /** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
@@ -42,6 +44,8 @@
 export interface FleetTrackerOptions extends RankingPlace {
     /** Id of this node's view, unique over nodes and restarts. */
     readonly viewId: string;
+    /** Whether the whole fleet starts for the first time, so that no request is waiting yet. */
+    readonly isFirstStart: boolean;
     readonly reader: StoreReader;
     readonly client: ChangesClient;
     readonly clock: Clock;
@@ -102,21 +106,29 @@
 
     /**
      * Finds other nodes in a stale copy of the store, which is cheap to read, and takes over the view of one of them.
-     * The copy itself isn't used, since it may be older than what the other nodes apply.
+     * The copy itself isn't used, since it may be older than what the other nodes apply. A node that restarts reads the
+     * store itself, since requests are waiting for it.
      */
     private async findPeers(state: FleetState): Promise<void> {
         const startedAtMs = this.readNowMs();
+        const { reader, awaitDelay, sampleRandom, isFirstStart } = this.options;
         let vainLookups = 0;
         while (vainLookups < maxVainLookups && this.readNowMs() - startedAtMs < maxLookupMs && !this.isStopped) {
-            const reading = await this.options.reader.readAll({ allowStale: true });
+            const reading = await reader.readAll({ allowStale: isFirstStart });
             if (reading.kind === "batch") {
                 state.ranking.update(reading.batch.records);
                 vainLookups += reading.batch.records.length > 0 ? 1 : 0;
             }
-            if (await this.takeOverView(state) || state.ranking.hasPeers) {
+            const takeOver = this.takeOverView(state);
+            if (!isFirstStart && reading.kind === "batch") {
+                await Promise.race([takeOver, awaitDelay(maxTakeOverMs)]);
+                this.applyReading(state, reading);
                 return;
             }
-            await this.options.awaitDelay(lookupPauseMs * (0.5 + this.options.sampleRandom()));
+            if (await takeOver || state.ranking.hasPeers) {
+                return;
+            }
+            await awaitDelay(lookupPauseMs * (0.5 + sampleRandom()));
         }
     }
 
--- a/src/relay/fleet/fleetView.ts
+++ b/src/relay/fleet/fleetView.ts
@@ -74,7 +74,7 @@
         }
         this.currentPosition = batch.position;
         batch.gone.forEach(gone => this.recordGone(gone));
-        batch.records.forEach(record => this.applyRecord(record, isRestored));
+        batch.records.forEach(record => this.applyRecord(record, batch.isFull));
         if (batch.isFull) {
             const listedIds = new Set(batch.records.map(({ id }) => id));
             [...this.records.keys()].filter(id => !listedIds.has(id)).forEach(id => this.removeMissing(id));
@@ -110,11 +110,9 @@
         };
     }
 
-    private applyRecord(record: UpstreamRecord, isRestored: boolean): void {
+    private applyRecord(record: UpstreamRecord, isFull: boolean): void {
         const { id } = record;
-        const known = this.records.get(id);
-        // A copy of the store lists upstreams as they were, even if they have left or begun to drain since.
-        if (isRestored && this.isKnownBetter(record, known)) {
+        if (isFull && (this.isGone(record) || this.isOutdated(record))) {
             return;
         }
         this.removalTimes.delete(id);
@@ -123,10 +121,16 @@
         this.recordChange(id);
     }
 
-    private isKnownBetter(record: UpstreamRecord, known: UpstreamRecord | undefined): boolean {
+    /** Whether an upstream has been removed since it wrote a record; a copy of the store may still list it. */
+    private isGone(record: UpstreamRecord): boolean {
         const gone = this.gone.get(record.id);
-        return known !== undefined && isOutdatedRecord(record, known)
-            || gone !== undefined && !isOutdatedRecord(gone, record);
+        return gone !== undefined && !isOutdatedRecord(gone, record);
+    }
+
+    /** Whether an upstream has written another record since; a copy of the store may list the older one. */
+    private isOutdated(record: UpstreamRecord): boolean {
+        const known = this.records.get(record.id);
+        return known !== undefined && isOutdatedRecord(record, known);
     }
 
     /** Removes an upstream that is no longer listed, unless it still has time to renew its entry. */
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -36,6 +36,8 @@
     readonly platform: Address;
     /** Path at which the platform checks readiness. */
     readonly readinessPath: string;
+    /** Whether the whole fleet starts for the first time; false for a node that restarts. */
+    readonly isFirstStart: boolean;
     /** Retries allowed for each request to a service, over all nodes. */
     readonly retryRatio: number;
     /** Retries allowed in a window in addition to the ratio, over all nodes. */
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -113,6 +113,7 @@
     upstream: { host, port: upstreamPort },
     platform: { host, port: 1 },
     readinessPath: "/ready",
+    isFirstStart: true,
     retryRatio: 0.2,
     retrySlack: 47,
     retryWindowMs: 10_000,
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -34,7 +34,7 @@
     constructor(count: number) {
         const indexes = Array.from({ length: count }, (unused, index) => index);
         indexes.forEach(index => this.store.write(this.createRecord(index)));
-        indexes.forEach(index => this.startNode(index));
+        indexes.forEach(index => this.startNode(index, true));
     }
 
     /** Creates the record of the upstream beside a node. */
@@ -44,13 +44,14 @@
     }
 
     /** Starts a node, as at first or after a restart that has lost all that the node knew. */
-    startNode(index: number): TrackerNode {
+    startNode(index: number, isFirstStart = false): TrackerNode {
         const { host, failureDomain } = this.createRecord(index);
         const seed = index + 1_000 * this.nodes.length;
         const tracker = new FleetTracker({
             host,
             failureDomain,
             viewId: `${host}/${seed}`,
+            isFirstStart,
             reader: this.store.createReader(host),
             client: {
                 queryChanges: (peer, query) =>
