--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -16,7 +16,7 @@
 /** Pause after an answer of the store with changes, in milliseconds. It lets several changes collect. */
 const changeBatchMs = 400;
 /** Time that a query of another node waits for a change, in milliseconds. */
-const peerWaitMs = 500;
+const peerWaitMs = 1_000;
 /** Pause between two queries of another node, in milliseconds. */
 const peerPauseMs = 50;
 /** Pause before a node that lies behind or can't reach the store is asked again, in milliseconds. */
