Set the timer wheel's timer for the earliest timeout instead of ticking

Cause: each node woke up 50 times a second for the wheel, ten times to look at its peers and five times for records to expire, whether anything was due or not; at 195 nodes that is 12,000 wake-ups a second. Change: the wheel sets one timer for its earliest tick with timeouts; most timeouts are removed before they are due. Missing records are looked at only while there are any; peers five times a second. The test network's queries took longer than their time-out after the wait of queries had been doubled; mended there.

--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -10,6 +10,9 @@
 /** The platform's name as a place that changes are read from. */
 export const platformPlace = "platform";
 
+/** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
+const expiryCheckMs = 200;
+
 /** Place of a node and its sources of time. */
 export interface FleetStateOptions extends RankingPlace {
     /** Id of this node's view, unique over nodes and restarts. */
@@ -27,6 +30,7 @@
     private isReachable: boolean | undefined;
     private isCurrent = false;
     private place = "";
+    private isExpiryPending = false;
     /** Cursor in the view of the node that answered last. */
     private cursor = { viewId: "", serial: 0 };
     private readonly waiters: ChangeWaiters;
@@ -102,13 +106,6 @@
         return true;
     }
 
-    /** Removes upstreams whose time to renew their entries is over. */
-    expireMissing(): void {
-        if (this.view.expireMissing()) {
-            this.publishUpstreams();
-        }
-    }
-
     /** Takes over the ranking from the records of another node while the node knows no other. */
     receivePeers(records: readonly UpstreamRecord[]): void {
         if (!this.ranking.hasPeers) {
@@ -139,9 +136,24 @@
         if (!previous && position || this.view.serial !== serial) {
             this.publishUpstreams();
         }
+        if (this.view.hasMissing && !this.isExpiryPending) {
+            void this.expireMissing();
+        }
         return result;
     }
 
+    /** Removes upstreams when their time to renew their entries is over. */
+    private async expireMissing(): Promise<void> {
+        this.isExpiryPending = true;
+        while (this.view.hasMissing) {
+            await this.options.awaitDelay(expiryCheckMs);
+            if (this.view.expireMissing()) {
+                this.publishUpstreams();
+            }
+        }
+        this.isExpiryPending = false;
+    }
+
     private applyTable(table: RoutingTable | undefined, from: string): void {
         if (table && table.version > this.readVersion()) {
             this.listener.onRouting(table, from);
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -37,9 +37,6 @@
 const maxTakeOverMs = 150;
 /** Number of lookups that find upstreams, but no other node of the failure domain, before the node gives up. */
 const maxVainLookups = 3;
-/** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
-const expiryCheckMs = 200;
-
 /** Place of a node, its means to read changes, and its sources of time and chance. */
 export interface FleetTrackerOptions extends RankingPlace {
     /** Id of this node's view, unique over nodes and restarts. */
@@ -63,21 +60,17 @@
     /** Time of the next own query while the asked nodes can't reach the store; undefined while they can. */
     private nextDirectAtMs: number | undefined;
     private outdatedAnswers = 0;
-    private stopExpiry: (() => void) | undefined;
 
     constructor(private readonly options: FleetTrackerOptions) {}
 
     start(listener: SourceListener): void {
-        const { clock } = this.options;
-        const state = new FleetState({ ...this.options, readNowMs: clock.readMonotonicMs }, listener);
-        this.state = state;
-        this.stopExpiry = clock.startInterval(expiryCheckMs, () => state.expireMissing());
-        void this.runTracking(state);
+        const readNowMs = this.options.clock.readMonotonicMs;
+        this.state = new FleetState({ ...this.options, readNowMs }, listener);
+        void this.runTracking(this.state);
     }
 
     stop(): void {
         this.isStopped = true;
-        this.stopExpiry?.();
         this.options.reader.close();
         this.options.client.close();
         this.state?.releaseWaiters();
--- a/src/relay/fleet/fleetView.ts
+++ b/src/relay/fleet/fleetView.ts
@@ -50,6 +50,11 @@
         return this.currentSerial;
     }
 
+    /** Whether upstreams are missing that still have time to renew their entries. */
+    get hasMissing(): boolean {
+        return this.removalTimes.size > 0;
+    }
+
     list(): readonly UpstreamRecord[] {
         return [...this.records.values()];
     }
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -27,7 +27,7 @@
 }
 
 /** Interval between the checks for idle and unresponsive nodes, in milliseconds. */
-const checkIntervalMs = 100;
+const checkIntervalMs = 200;
 /** Age of a pending request and time without data from its node after which the node is pinged, in milliseconds. */
 const pingAfterMs = 500;
 /** Timeout of a ping, in milliseconds. Allows several round trips between failure domains. */
--- a/src/tasks/_lib/clock.ts
+++ b/src/tasks/_lib/clock.ts
@@ -1,4 +1,4 @@
-/** Reads the time and runs interval timers; tests use a virtual clock instead. */
+/** Reads the time and runs timers; tests use a virtual clock instead. */
 export interface Clock {
     /** Monotonic time in milliseconds. */
     readonly readMonotonicMs: () => number;
@@ -6,9 +6,11 @@
     readonly readWallMs: () => number;
     /** Calls `handle` at a fixed interval; returns a function that stops the interval. */
     readonly startInterval: (intervalMs: number, handle: () => void) => () => void;
+    /** Calls `handle` once after a delay; returns a function that cancels the call. */
+    readonly startTimeout: (delayMs: number, handle: () => void) => () => void;
 }
 
-/** Clock of the operating system; its intervals don't keep the process running. */
+/** Clock of the operating system; its timers don't keep the process running. */
 export const systemClock: Clock = {
     readMonotonicMs: () => performance.now(),
     readWallMs: () => Date.now(),
@@ -17,4 +19,9 @@
         interval.unref();
         return () => clearInterval(interval);
     },
+    startTimeout: (delayMs, handle) => {
+        const timeout = setTimeout(handle, delayMs);
+        timeout.unref();
+        return () => clearTimeout(timeout);
+    },
 };
--- a/src/tasks/_lib/test.ts
+++ b/src/tasks/_lib/test.ts
@@ -126,7 +126,7 @@
         let isPaused = true;
         const wheel = new TimerWheel({
             ...clock,
-            startInterval: () => () => undefined,
+            startTimeout: () => () => undefined,
             readMonotonicMs: () => isPaused ? 0 : 60_000,
         });
         let expired = 0;
--- a/src/tasks/_lib/timerWheel.ts
+++ b/src/tasks/_lib/timerWheel.ts
@@ -10,11 +10,16 @@
     readonly bucket: Set<Timeout>;
 }
 
-/** Runs many short timeouts on one interval timer, which stops once no bucket of timeouts is left. */
+/**
+ * Runs many short timeouts on one timer, which is set for the earliest tick that has any. Most timeouts are removed
+ * before they expire, so that few ticks are ever reached.
+ */
 export class TimerWheel {
     private readonly buckets = new Map<number, Set<Timeout>>();
-    private stopInterval: (() => void) | undefined;
-    private lastTick = 0;
+    private cancelTimer: (() => void) | undefined;
+    /** Tick for which the timer is set. */
+    private nextTick = Infinity;
+    private isExpiring = false;
 
     constructor(private readonly clock: Clock, private readonly tickMs = timerTickMs) {}
 
@@ -27,7 +32,9 @@
         this.buckets.set(tick, bucket);
         const timeout: Timeout = { dueAtMs, expire, bucket };
         bucket.add(timeout);
-        this.startInterval();
+        if (tick < this.nextTick && !this.isExpiring) {
+            this.startTimer(tick);
+        }
         return timeout;
     }
 
@@ -39,30 +46,44 @@
     /** Calls `expire` of all timeouts that are due, in the order of their ticks. */
     expire(): void {
         const nowTick = Math.floor(this.clock.readMonotonicMs() / this.tickMs);
-        const elapsedTicks = nowTick - this.lastTick;
-        // After a long pause, fewer buckets exist than ticks have passed, so the buckets are listed instead.
-        const dueTicks = elapsedTicks > this.buckets.size
-            ? [...this.buckets.keys()].filter(tick => tick <= nowTick).sort((a, b) => a - b)
-            : [...Array(elapsedTicks).keys()].map(offset => this.lastTick + 1 + offset);
-        this.lastTick = nowTick;
-        dueTicks.forEach(tick => this.expireBucket(tick));
-        if (this.buckets.size === 0) {
-            this.stop();
-        }
+        this.isExpiring = true;
+        [...this.buckets.keys()].filter(tick => tick <= nowTick).sort((a, b) => a - b).forEach(tick =>
+            this.expireBucket(tick)
+        );
+        this.isExpiring = false;
+        this.startNextTimer();
     }
 
-    /** Stops the interval timer; pending timeouts no longer expire. */
+    /** Stops the timer; pending timeouts no longer expire. */
     stop(): void {
-        this.stopInterval?.();
-        this.stopInterval = undefined;
+        this.cancelTimer?.();
+        this.cancelTimer = undefined;
+        this.nextTick = Infinity;
     }
 
-    private startInterval(): void {
-        if (this.stopInterval) {
+    private startTimer(tick: number): void {
+        this.cancelTimer?.();
+        this.nextTick = tick;
+        const delayMs = Math.max(0, tick * this.tickMs - this.clock.readMonotonicMs());
+        // A timer may fire a fraction of a millisecond early, before its tick is due.
+        this.cancelTimer = this.clock.startTimeout(Math.ceil(delayMs), () => this.expire());
+    }
+
+    /** Sets the timer for the earliest tick with timeouts, and drops the buckets whose timeouts have been removed. */
+    private startNextTimer(): void {
+        let earliestTick = Infinity;
+        this.buckets.forEach(({ size }, tick) => {
+            if (size === 0) {
+                this.buckets.delete(tick);
+                return;
+            }
+            earliestTick = Math.min(earliestTick, tick);
+        });
+        if (earliestTick === Infinity) {
+            this.stop();
             return;
         }
-        this.lastTick = Math.floor(this.clock.readMonotonicMs() / this.tickMs);
-        this.stopInterval = this.clock.startInterval(this.tickMs, () => this.expire());
+        this.startTimer(earliestTick);
     }
 
     private expireBucket(tick: number): void {
--- a/src/tasks/homeGuard/test.ts
+++ b/src/tasks/homeGuard/test.ts
@@ -19,6 +19,7 @@
             sendHeartbeat = handle;
             return () => undefined;
         },
+        startTimeout: () => () => undefined,
     };
     const detector = new PauseDetector(clock, bus);
     const guard = new HomeGuard(settings, bus);
--- a/src/testing/startTestGraph.ts
+++ b/src/testing/startTestGraph.ts
@@ -47,6 +47,7 @@
 class OffsetClock implements Clock {
     readonly readMonotonicMs = systemClock.readMonotonicMs;
     readonly startInterval = systemClock.startInterval;
+    readonly startTimeout = systemClock.startTimeout;
     private offsetMs = startOffsetMs;
 
     readonly readWallMs = (): number => Date.now() - this.offsetMs;
--- a/src/testing/virtualClock.ts
+++ b/src/testing/virtualClock.ts
@@ -39,6 +39,18 @@
         };
     };
 
+    readonly startTimeout = (delayMs: number, handle: () => void): () => void => {
+        let isCancelled = false;
+        this.schedule(delayMs, () => {
+            if (!isCancelled) {
+                handle();
+            }
+        });
+        return () => {
+            isCancelled = true;
+        };
+    };
+
     /** Schedules a callback after a delay in milliseconds; it runs during `runUntil`. */
     readonly schedule = (delayMs: number, run: () => void): void => {
         this.sequence += 1;
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -8,7 +8,8 @@
 import { VirtualStore } from "./virtualStore";
 
 const hopMs = 1;
-const queryTimeoutMs = 900;
+/** Time that a query may take in addition to its wait, in milliseconds. */
+const answerTimeoutMs = 400;
 const stepMs = 10;
 
 /** A node that tracks the fleet. */
@@ -57,7 +58,7 @@
                 queryChanges: (peer, query) =>
                     Promise.race([
                         this.forwardQuery(peer, node => node.tracker.awaitChanges(query)),
-                        this.awaitDelay(queryTimeoutMs).then(() => undefined),
+                        this.awaitDelay(query.waitMs + answerTimeoutMs).then(() => undefined),
                     ]),
                 close: () => undefined,
             },
