Skip upstreams whose address a later one has; use the store at once after a restart

Change: a record is left out while a later one stands at its address; a restarting node applies what it has read from the store at once and asks other nodes afterwards. Tests: upstreamDirectory (failed before).

--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -33,8 +33,6 @@
 /** Longest time that a starting node looks for other nodes to ask, and the mean pause, in milliseconds. */
 const maxLookupMs = 5_000;
 const lookupPauseMs = 500;
-/** Longest time that a restarting node waits for the view of another node before it uses the store's, in milliseconds. */
-const maxTakeOverMs = 150;
 /** Number of lookups that find upstreams, but no other node of the failure domain, before the node gives up. */
 const maxVainLookups = 3;
 /** Place of a node, its means to read changes, and its sources of time and chance. */
@@ -100,7 +98,7 @@
     /**
      * Finds other nodes in a stale copy of the store, which is cheap to read, and takes over the view of one of them.
      * The copy itself isn't used, since it may be older than what the other nodes apply. A node that restarts reads the
-     * store itself, since requests are waiting for it.
+     * store itself and uses that at once, since requests are waiting for it; it asks other nodes afterwards.
      */
     private async findPeers(state: FleetState): Promise<void> {
         const startedAtMs = this.readNowMs();
@@ -112,13 +110,10 @@
                 state.ranking.update(reading.batch.records);
                 vainLookups += reading.batch.records.length > 0 ? 1 : 0;
             }
-            const takeOver = this.takeOverView(state);
-            if (!isFirstStart && reading.kind === "batch") {
-                await Promise.race([takeOver, awaitDelay(maxTakeOverMs)]);
-                this.applyReading(state, reading);
+            if (!isFirstStart && this.applyReading(state, reading)) {
                 return;
             }
-            if (await takeOver || state.ranking.hasPeers) {
+            if (await this.takeOverView(state) || state.ranking.hasPeers) {
                 return;
             }
             await awaitDelay(lookupPauseMs * (0.5 + sampleRandom()));
--- a/src/relay/upstreamDirectory/index.ts
+++ b/src/relay/upstreamDirectory/index.ts
@@ -64,7 +64,15 @@
     update(records: readonly UpstreamRecord[]): void {
         this.byId = new Map(records.map(record => [record.id, record]));
         this.pools = new Map();
-        records.filter(({ state }) => state === "ready").forEach(record => {
+        const bornAtMsByAddress = new Map<string, number>();
+        records.forEach(({ host, port, bornAtMs }) => {
+            const address = `${host}:${port}`;
+            bornAtMsByAddress.set(address, Math.max(bornAtMs, bornAtMsByAddress.get(address) ?? -Infinity));
+        });
+        // The record of an upstream that has ended without notice is listed until it expires.
+        const isAddressTaken = ({ host, port, bornAtMs }: UpstreamRecord): boolean =>
+            bornAtMsByAddress.get(`${host}:${port}`)! > bornAtMs;
+        records.filter(record => record.state === "ready" && !isAddressTaken(record)).forEach(record => {
             const pool = this.pools.get(record.service) ?? { local: [], remote: [] };
             (record.failureDomain === this.failureDomain ? pool.local : pool.remote).push(record);
             this.pools.set(record.service, pool);
--- a/src/relay/upstreamDirectory/test.ts
+++ b/src/relay/upstreamDirectory/test.ts
@@ -112,6 +112,20 @@
         expect(sampleIds(["near"])).toBe("");
     });
 
+    it("uses no upstream whose address a later one has taken over, even of another service", () => {
+        const { directory, listIds } = createDirectory();
+        directory.update([
+            createUpstreamRecord({ id: "before", bornAtMs: 1 }),
+            createUpstreamRecord({ id: "after", bornAtMs: 2 }),
+            createUpstreamRecord({ id: "elsewhere", bornAtMs: 1, host: "127.0.0.3" }),
+            createUpstreamRecord({ id: "lost", bornAtMs: 1, host: "127.0.0.4" }),
+            createUpstreamRecord({ id: "successor", bornAtMs: 5, host: "127.0.0.4", service: "gate" }),
+            createUpstreamRecord({ id: "first of a tie", bornAtMs: 1, host: "127.0.0.5" }),
+            createUpstreamRecord({ id: "second of a tie", bornAtMs: 1, host: "127.0.0.5" }),
+        ]);
+        expect(listIds()).toBe("after,elsewhere,first of a tie,second of a tie");
+    });
+
     it("finds the latest record at an address", () => {
         const { directory } = createDirectory();
         directory.update([
