Keep a rerouted retry a retry

Cause: when a node refused a retry without reaching its upstream, the next hop was sent as a first attempt; its nested calls were then not charged to the retry budgets, and the receiving service counted them as first arrivals. Change: a reroute keeps whether an earlier hop may have reached an upstream; it is logged and counted once.

--- a/src/relay/entry/requestSender.ts
+++ b/src/relay/entry/requestSender.ts
@@ -46,6 +46,8 @@
 interface ActiveHop {
     readonly upstreamId: string;
     readonly sentAtMs: number;
+    /** Whether an earlier hop may have reached an upstream. */
+    readonly isRetry: boolean;
     cancel: (cause: CancelCause) => void;
 }
 
@@ -97,7 +99,8 @@
         return wasSent;
     }
 
-    private sendNext(isRetry: boolean): boolean {
+    /** Sends a hop to a chosen upstream. A rerouted retry is still one, but is counted only once. */
+    private sendNext(isRetry: boolean, isReroute = false): boolean {
         const { directory, sampleRandom, readNowMs, metrics } = this.dependencies;
         const { route, service, startedAtMs } = this.input;
         const pendingUpstreamIds = [...this.hops].map(({ upstreamId }) => upstreamId);
@@ -110,7 +113,7 @@
         if (!chosen) {
             return false;
         }
-        if (isRetry) {
+        if (isRetry && !isReroute) {
             metrics.countRetry(service);
             this.handler.writeLog("request-repeated", {
                 upstream: chosen.id,
@@ -125,7 +128,7 @@
 
     private startHop(upstreamId: string, isRetry: boolean): void {
         const { directory, sendHop, readNowMs } = this.dependencies;
-        const hop: ActiveHop = { upstreamId, sentAtMs: readNowMs(), cancel: () => undefined };
+        const hop: ActiveHop = { upstreamId, sentAtMs: readNowMs(), isRetry, cancel: () => undefined };
         this.hops.add(hop);
         directory.recordSent(upstreamId);
         const handler: HopHandler = {
@@ -160,7 +163,7 @@
             return;
         }
         this.recordResult(hop, result, report);
-        if (this.tryNextAttempt(result) || this.hops.size > 0 && !isSuccess(result)) {
+        if (this.tryNextAttempt(result, hop.isRetry) || this.hops.size > 0 && !isSuccess(result)) {
             return;
         }
         this.isFinished = true;
@@ -175,7 +178,7 @@
     }
 
     /** Reroutes or retries the request after the result of a hop; returns false if no further attempt was started. */
-    private tryNextAttempt(result: HopResult): boolean {
+    private tryNextAttempt(result: HopResult, isRetry: boolean): boolean {
         const { route, request } = this.input;
         const decision = decideNextAttempt({
             result,
@@ -189,7 +192,7 @@
         if (decision === "give-up" || !this.isReplayable()) {
             return false;
         }
-        return decision === "reroute" ? this.sendNext(false) : this.tryRetry();
+        return decision === "reroute" ? this.sendNext(isRetry, true) : this.tryRetry();
     }
 
     private tryRetry(): boolean {
