--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -35,6 +35,7 @@
 const lookupPauseMs = 500;
 /** Number of lookups that find upstreams, but no other node of the failure domain, before the node gives up. */
 const maxVainLookups = 3;
+
 /** Place of a node, its means to read changes, and its sources of time and chance. */
 export interface FleetTrackerOptions extends RankingPlace {
     /** Id of this node's view, unique over nodes and restarts. */
