--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -5,7 +5,6 @@
 import { deriveOutcome, encodeHopAnswer, hopHeader, type HopOutcome, parseHopRequest } from "../hop/headers";
 import { type EventLog } from "../log";
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport } from "../types";
-import { CongestionMeans } from "./congestionMeans";
 import { emptyHopStats, type HopStats, ServedHop, type ServedHopDependencies } from "./servedHop";
 
 /** Dependencies of the ingress; those that it inherits are passed on to each served request. */
@@ -28,11 +27,8 @@
 /** Serves requests at the local upstream, and reports the load to their senders. */
 export class Ingress {
     private inFlight = 0;
-    private readonly congestionMeans: CongestionMeans;
 
-    constructor(private readonly dependencies: IngressDependencies) {
-        this.congestionMeans = new CongestionMeans(dependencies.readNowMs);
-    }
+    constructor(private readonly dependencies: IngressDependencies) {}
 
     /** Number of requests without a result. */
     get pending(): number {
@@ -47,8 +43,7 @@
             settle: result => {
                 this.inFlight -= 1;
                 this.writeFailedHop(hopRequest, result);
-                const stats = this.computeMeanStats(hopRequest, result, served.computeStats());
-                handler.settle(result, this.dependencies.createReport(hopRequest, stats));
+                handler.settle(result, this.dependencies.createReport(hopRequest, served.computeStats()));
             },
         };
         const served = new ServedHop(hopRequest, countingHandler, this.dependencies);
@@ -60,13 +55,6 @@
         return () => served.cancel();
     }
 
-    /** Replaces the congestion that a request has met by the mean of its route. A request that didn't run met none. */
-    private computeMeanStats({ route, rank }: HopRequest, result: HopResult, stats: HopStats): HopStats {
-        return result.kind === "not-run"
-            ? stats
-            : { ...stats, congestion: this.congestionMeans.record(route, rank, stats.congestion) };
-    }
-
     private writeFailedHop(hopRequest: HopRequest, result: HopResult): void {
         if (result.kind === "answered") {
             return;
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -6,10 +6,8 @@
 const updateWindowMs = 100;
 /** Time without answers, thus with unknown congestion, after which an admission probability grows, in milliseconds. */
 const idleWindowMs = 1_000;
-/** Maximum number of update windows that one update covers. */
+/** Maximum number of update windows that one update covers; after reported congestion, at most one per answer. */
 const maxWindowsPerUpdate = 10;
-/** Maximum number of update windows for each answer after reported congestion; an answer reports a mean of requests. */
-const maxWindowsPerAnswer = 8;
 /** Weight of one report in the moving mean of the congestion of a route's nested requests. */
 const congestionWeight = 0.1;
 /** Age after which the mean congestion of nested requests decays, and time constant of its decay, in milliseconds. */
@@ -119,7 +117,7 @@
         }
         const { answers, congestionSum } = admission;
         const elapsedWindows = Math.min(maxWindowsPerUpdate, elapsedMs / updateWindowMs);
-        const windows = congestionSum > 0 ? Math.min(elapsedWindows, answers * maxWindowsPerAnswer) : elapsedWindows;
+        const windows = congestionSum > 0 ? Math.min(elapsedWindows, answers) : elapsedWindows;
         admission.probability = updateAdmissionByCongestion(admission.probability, {
             answers,
             congestionSum,
