Give one name to one type: what a node answers about itself is its NodeView

The control procedure's FleetView and the class of that name in src/relay/fleet were two things. Renamed in control and viewSync; the wire is unchanged. Tests of src/relay/control, fleet and test.ts pass.

--- a/src/relay/control/index.ts
+++ b/src/relay/control/index.ts
@@ -9,14 +9,14 @@
 import { type ChangesQuery, type FleetChanges } from "../fleet/types";
 
 /** One node's view of the fleet: its routing table and its upstream records. */
-export interface FleetView {
+export interface NodeView {
     readonly table: RoutingTable | undefined;
     readonly upstreams: readonly UpstreamRecord[];
 }
 
 /** Functions that serve the control procedures called by other nodes. */
 export interface ControlDependencies {
-    readonly readView: () => FleetView;
+    readonly readView: () => NodeView;
     /** Waits for changes of the fleet view. */
     readonly awaitChanges: (query: ChangesQuery) => Promise<FleetChanges>;
     /** Called with the fingerprint of a request during which an upstream crashed, and with the name of its node. */
@@ -67,10 +67,10 @@
     });
 
 /** Queries the fleet view of another node; resolves to undefined if the call fails or times out. */
-export const queryView = async (address: Address): Promise<FleetView | undefined> => {
+export const queryView = async (address: Address): Promise<NodeView | undefined> => {
     try {
         const signal = AbortSignal.timeout(callTimeoutMs);
-        return await createClient(address).view.query(undefined, { signal }) as FleetView;
+        return await createClient(address).view.query(undefined, { signal }) as NodeView;
     }
     catch {
         return undefined;
--- a/src/relay/viewSync.ts
+++ b/src/relay/viewSync.ts
@@ -1,5 +1,5 @@
 /** Fetches the fleet view from nodes that use a higher routing version than this node. */
-import { type FleetView, queryView } from "./control";
+import { type NodeView, queryView } from "./control";
 
 /** Functions that view synchronization calls, and the control port of the other nodes. */
 export interface ViewSyncDependencies {
@@ -7,7 +7,7 @@
     /** Port of the control listener, the same on all nodes. */
     readonly controlPort: number;
     /** Called with the fleet view of the node at a host. */
-    readonly onViewReceived: (view: FleetView, host: string) => void;
+    readonly onViewReceived: (view: NodeView, host: string) => void;
     /** Called when a query of a node with a higher version failed or timed out. */
     readonly onFailed: (host: string) => void;
     readonly readNowMs: () => number;
