End an answer that becomes too long to buffer after its sender has left

Cause: on a slow machine the 256 KiB that are buffered are reached only after the deadline. The sender has cancelled by then; a booking runs on, and its buffer opened a stream to the handler of the cancelled hop. A hop that streams is not overdue, as its sender ends it, so nothing ended it: the connection, the slot and the bytes lasted until the upstream closed. Ruled out: load alone (12 runs of the test beside four busy processes passed, since the size was reached in time); the link's frame ids (counted up, never used again).

A hop that was cancelled discards the rest and stays subject to the time after its deadline.

--- a/src/relay/endlessBytes.test.ts
+++ b/src/relay/endlessBytes.test.ts
@@ -31,15 +31,20 @@
 
 afterEach(() => fleet.stop());
 
-/** Writes `start`, then `filler` again and again until the connection is closed. */
-const writeEndlessly = (start: (requestId: string) => string, filler: string): UpstreamHandler => request => {
+/** Writes `start`, then `filler` again and again, `intervalMs` apart, until the connection is closed. */
+const writeEndlessly = (
+    start: (requestId: string) => string,
+    filler: string,
+    intervalMs = 2,
+): UpstreamHandler =>
+request => {
     const { socket } = request;
     endlessSockets.push(socket);
     socket.write(start(String(request.headers[testHeaderNames.requestId])));
     const block = filler.repeat(Math.ceil(8_192 / filler.length));
     const writeMore = (): void => {
         if (!socket.destroyed) {
-            socket.write(block, () => setTimeout(writeMore, 2));
+            socket.write(block, () => setTimeout(writeMore, intervalMs));
         }
     };
     writeMore();
@@ -99,6 +104,19 @@
     });
 });
 
+describe("an answer that becomes too long to buffer only after the deadline", () => {
+    it.each(["lookup", "booking"])("ends shortly after the deadline of a %s", async route => {
+        const start = (id: string): string =>
+            `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+        await startFleet(writeEndlessly(start, "5\r\nhello\r\n", 5));
+        const startedAtMs = performance.now();
+        const request = { path: `/${route}/endless`, method: route === "booking" ? "POST" : "GET", deadlineMs: 150 };
+        expect((await sendToEntry(fleet.members[0]!, request)).status).toBe(504);
+        await awaitUntil(isEachSocketClosed);
+        expect(performance.now() - startedAtMs).toBeLessThan(deadlineMs + closeWithinMs);
+    });
+});
+
 describe("a caller that leaves in the middle of a long answer", () => {
     it.each(["lookup", "booking"])("ends the answer of a %s at the upstream", async route => {
         const start = (id: string): string =>
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -1,7 +1,7 @@
 /** Runs one request at the local upstream: waits for a slot, sends the request and collects the answer. */
 import { firstServerErrorStatus } from "../../constants";
 import { computeCongestion } from "../../decisions/computeCongestion";
-import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
+import { type AnswerHead, type AnswerSink, DiscardingSink } from "../../tasks/_lib/answerSink";
 import { Attempt, type AttemptHandler, type AttemptResult, type Dispatch, sendAttempt } from "../../tasks/_lib/attempt";
 import { findHeader, noHeaders, stripHeaders } from "../../tasks/_lib/headers";
 import { type Timeout, type TimerWheel } from "../../tasks/_lib/timerWheel";
@@ -71,6 +71,7 @@
     private grant: SlotGrant | undefined;
     private queuedAtMs = 0;
     private isStreaming = false;
+    private isCancelled = false;
     private overdueTimeout: Timeout | undefined;
 
     constructor(
@@ -83,10 +84,7 @@
         this.rank = hopRequest.rank;
         this.targetLatencyMs = hopRequest.targetLatencyMs;
         this.deadlineAtMs = hopRequest.deadlineAtMs;
-        this.buffer = new AnswerBuffer(head => {
-            this.isStreaming = true;
-            return handler.openStream(head);
-        });
+        this.buffer = new AnswerBuffer(head => this.openStream(head));
     }
 
     start(): void {
@@ -124,6 +122,7 @@
         if (this.isSettled) {
             return;
         }
+        this.isCancelled = true;
         if (!this.attempt) {
             this.cancelWait();
             this.settle({ kind: "not-run", reason: "expired" });
@@ -182,6 +181,15 @@
         this.settle(this.deriveResult(result));
     }
 
+    /** Opens the stream of an answer that is too long to buffer. Without a sender it is not a stream: nobody ends it. */
+    private openStream(head: AnswerHead): AnswerSink {
+        if (this.isCancelled) {
+            return new DiscardingSink();
+        }
+        this.isStreaming = true;
+        return this.handler.openStream(head);
+    }
+
     /** Closes the connection of an overdue request. A stream ends with its caller, whose deadline may be later. */
     private abortOverdue(): void {
         if (!this.isStreaming) {
