--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,6 +12,20 @@
         files: ["**/*.mjs"],
         languageOptions: { globals: { process: "readonly", URL: "readonly" } },
     },
+    {
+        files: ["**/*.cjs"],
+        languageOptions: {
+            sourceType: "commonjs",
+            globals: {
+                process: "readonly",
+                require: "readonly",
+                module: "readonly",
+                exports: "readonly",
+                __dirname: "readonly",
+            },
+        },
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         files: ["src/**/*.ts", "bench/**/*.ts", "platform/**/*.ts"],
         plugins: { local: { rules: { verb: verbRule } } },
@@ -22,7 +36,8 @@
             eqeqeq: "error",
             "prefer-arrow-callback": "error",
             "one-var": ["error", "never"],
-            "no-underscore-dangle": "error",
+            // tRPC describes a procedure in its property `_def`.
+            "no-underscore-dangle": ["error", { allow: ["_def"] }],
             "max-lines": ["error", { max: 300 }],
             "@typescript-eslint/naming-convention": [
                 "error",
--- a/src/relay/control/index.ts
+++ b/src/relay/control/index.ts
@@ -1,12 +1,10 @@
 /** Control procedures between nodes over tRPC: fleet view, its changes, and reports of suspected poison requests. */
-import { createTRPCClient, httpLink } from "@trpc/client";
 import { initTRPC } from "@trpc/server";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { type RequestListener } from "node:http";
 import * as z from "zod";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
-import { type Address } from "../../types";
 import { type ChangesQuery, type FleetChanges } from "../fleet/types";
+import { createProcedureHandler } from "./procedureHandler";
 
 /** One node's view of the fleet: its routing table and its upstream records. */
 export interface NodeView {
@@ -23,8 +21,6 @@
     readonly receiveSuspect: (fingerprint: string, node: string) => void;
 }
 
-/** Timeout of a control call to another node, in milliseconds. */
-const callTimeoutMs = 1_000;
 const maxFieldCharacters = 200;
 const suspectSchema = z.object({
     fingerprint: z.string().max(maxFieldCharacters),
@@ -56,35 +52,4 @@
 
 /** Creates the handler of the control listener. */
 export const createControlHandler = (dependencies: ControlDependencies): RequestListener =>
-    createHTTPHandler({ router: createRelayRouter(dependencies), basePath: "/trpc/" });
-
-type ClientFetch = Parameters<typeof httpLink>[0]["fetch"];
-
-/** Creates a client of a node's control listener; `fetch` replaces the runtime's implementation. */
-export const createClient = (address: Address, fetch?: ClientFetch) =>
-    createTRPCClient<RelayRouter>({
-        links: [httpLink({ url: `http://${address.host}:${address.port}/trpc`, ...fetch && { fetch } })],
-    });
-
-/** Queries the fleet view of another node; resolves to undefined if the call fails or times out. */
-export const queryView = async (address: Address): Promise<NodeView | undefined> => {
-    try {
-        const signal = AbortSignal.timeout(callTimeoutMs);
-        return await createClient(address).view.query(undefined, { signal }) as NodeView;
-    }
-    catch {
-        return undefined;
-    }
-};
-
-/** Tells another node that an upstream crashed during a request; resolves to false if the call fails or times out. */
-export const sendSuspect = async (address: Address, fingerprint: string, node: string): Promise<boolean> => {
-    try {
-        const signal = AbortSignal.timeout(callTimeoutMs);
-        await createClient(address).suspect.mutate({ fingerprint, node }, { signal });
-        return true;
-    }
-    catch {
-        return false;
-    }
-};
+    createProcedureHandler(createRelayRouter(dependencies), "/trpc/");
--- a/src/relay/control/test.ts
+++ b/src/relay/control/test.ts
@@ -3,6 +3,7 @@
 import { createRoutingTable, createUpstreamRecord } from "../../testing/createRoute";
 import { type ChangesQuery, type FleetChanges } from "../fleet/types";
 import { ControlChangesClient } from "./changesClient";
+import { queryView, sendSuspect } from "./client";
 import { createControlHandler } from "./index";
 
 const changes: FleetChanges = {
@@ -26,16 +27,17 @@
 let failures: string[];
 let queries: ChangesQuery[];
 let isAnswering: boolean;
+let suspects: string[];
 
 beforeEach(async () => {
-    [failures, queries, isAnswering] = [[], [], true];
+    [failures, queries, isAnswering, suspects] = [[], [], true, []];
     server = createServer(createControlHandler({
         readView: () => ({ table: undefined, upstreams: [] }),
         awaitChanges: query => {
             queries.push(query);
             return isAnswering ? Promise.resolve(changes) : new Promise(() => undefined);
         },
-        receiveSuspect: () => undefined,
+        receiveSuspect: (fingerprint, node) => suspects.push(`${fingerprint} ${node}`),
     }));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     client = new ControlChangesClient((server.address() as AddressInfo).port, host => failures.push(host));
@@ -72,3 +74,44 @@
         expect(failures).toEqual(["127.0.0.1"]);
     });
 });
+
+describe("createProcedureHandler", () => {
+    const send = async (path: string, options: RequestInit = {}): Promise<readonly [number, unknown]> => {
+        const response = await fetch(`http://127.0.0.1:${(server.address() as AddressInfo).port}${path}`, options);
+        return [
+            response.status,
+            (await response.json() as { readonly error: { readonly message: string; }; }).error.message,
+        ];
+    };
+
+    it("names the path of a procedure that doesn't exist", async () => {
+        expect(await send("/trpc/toString")).toEqual([404, "no procedure at /trpc/toString"]);
+        expect(await send("/other/view")).toEqual([404, "no procedure at /other/view"]);
+    });
+
+    it("refuses a mutation that is sent as a query, and a query that is sent as a mutation", async () => {
+        expect(await send("/trpc/suspect")).toEqual([405, "GET on /trpc/suspect"]);
+        expect(await send("/trpc/view", { method: "POST" })).toEqual([405, "POST on /trpc/view"]);
+    });
+
+    it("refuses input that is no JSON or too long", async () => {
+        expect((await send("/trpc/changes?input=%7B"))[0]).toBe(400);
+        expect(await send("/trpc/suspect", { method: "POST", body: "x".repeat(70_000) }))
+            .toEqual([413, "input: too-large"]);
+    });
+});
+
+describe("calls over connections of their own", () => {
+    it("query the view of a node and tell it of a suspect", async () => {
+        const address = { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
+        expect(await queryView(address)).toEqual({ upstreams: [] });
+        expect(await sendSuspect(address, "f-1", "node-1")).toBe(true);
+        expect(suspects).toEqual(["f-1 node-1"]);
+    });
+
+    it("resolve without an answer if the node can't be reached", async () => {
+        const address = { host: "127.0.0.1", port: 1 };
+        expect(await queryView(address)).toBeUndefined();
+        expect(await sendSuspect(address, "f-1", "node-1")).toBe(false);
+    });
+});
--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -4,7 +4,7 @@
 import { MessageBus } from "../tasks/messages";
 import { computeRequestFingerprint, Quarantine } from "../tasks/quarantine";
 import { type Address } from "../types";
-import { sendSuspect } from "./control";
+import { sendSuspect } from "./control/client";
 import { type EventLog } from "./log";
 import { type HopRequest } from "./types";
 
--- a/src/relay/viewSync.ts
+++ b/src/relay/viewSync.ts
@@ -1,5 +1,6 @@
 /** Fetches the fleet view from nodes that use a higher routing version than this node. */
-import { type NodeView, queryView } from "./control";
+import { type NodeView } from "./control";
+import { queryView } from "./control/client";
 
 /** Functions that view synchronization calls, and the control port of the other nodes. */
 export interface ViewSyncDependencies {
