Retry first what is important and nearly complete

The retry budget is spent at once, on any call: four calls have to succeed for a tree to complete, so a retry of the first call of an unimportant tree is worth a few hundredths of a tree, one of the last call of an important tree half of an important one.

Change: a nested call leaves a share of the budget to calls of a higher value; the value grows with the rank of the caller's request and with the number of siblings that have succeeded. The share follows what the route has seen, so that ordinary calls have the whole budget where no others are.

--- a/src/relay/_lib/retryBudgets.ts
+++ b/src/relay/_lib/retryBudgets.ts
@@ -1,10 +1,16 @@
+import {
+    computeRetryReserve,
+    computeRetryValue,
+    type NestedRetryCandidate,
+    retryValueCount,
+} from "../../decisions/computeRetryReserve";
 import { computeRetryBudgetShare, RetryBudget, type RetryBudgetOptions } from "../../decisions/retryBudget";
 import { type LoadReport } from "../types";
 
-/** Share of a retry budget that nested requests leave to direct ones, which are far fewer. */
-const directReserveShare = 0.3;
 /** Weight of one answer in the moving mean of the number of nested calls. */
 const nestedCallsWeight = 0.02;
+/** Weight of one nested request in the moving shares by value. */
+const valueShareWeight = 0.02;
 /** Initial mean number of nested calls of a route, before answers report it. */
 const initialNestedCalls = 3;
 
@@ -12,10 +18,17 @@
     readonly budget: RetryBudget;
     /** Moving mean of the number of nested calls that a request causes, at all depths. */
     nestedCalls: number;
+    /** Moving shares of the nested requests by the value of a retry; see `computeRetryValue`. */
+    readonly valueShares: number[];
     /** Share of the upstream's slot time used by direct requests, 0 to 1. It is 1 for a route of nested requests. */
     directShare: number;
 }
 
+/** A request on a route, which may be retried. */
+export interface BudgetedRequest extends NestedRetryCandidate {
+    readonly nested: boolean;
+}
+
 /** Limits this node's retries of each route to its share of the retry budget. */
 export class RetryBudgets {
     private readonly routes = new Map<string, RouteBudget>();
@@ -30,8 +43,14 @@
     }
 
     /** Records the first attempt of a request. It accrues retries, or consumes one if it is nested in a retry. */
-    recordRequest(route: string, isNestedInRetry: boolean): void {
-        const { budget } = this.getBudget(route);
+    recordRequest(route: string, request: BudgetedRequest, isNestedInRetry: boolean): void {
+        const { budget, valueShares } = this.getBudget(route);
+        if (request.nested) {
+            const ownValue = computeRetryValue(request);
+            valueShares.forEach((share, value) => {
+                valueShares[value] = share + valueShareWeight * ((value === ownValue ? 1 : 0) - share);
+            });
+        }
         if (isNestedInRetry) {
             budget.recordNestedRetry(this.readNowMs());
             return;
@@ -47,9 +66,11 @@
         this.updateBudget(routeBudget);
     }
 
-    /** Consumes one retry of a route. Returns false if none is left, or if a nested request would need the reserve. */
-    tryConsume(route: string, nested: boolean): boolean {
-        return this.getBudget(route).budget.tryConsume(this.readNowMs(), nested ? directReserveShare : 0);
+    /** Consumes one retry of a route. Returns false if none is left, or if others need the rest more. */
+    tryConsume(route: string, request: BudgetedRequest): boolean {
+        const { budget, valueShares } = this.getBudget(route);
+        const reserve = request.nested ? computeRetryReserve(computeRetryValue(request), valueShares) : 0;
+        return budget.tryConsume(this.readNowMs(), reserve);
     }
 
     private updateBudget({ budget, ...stats }: RouteBudget): void {
@@ -63,7 +84,11 @@
         }
         const stats = { nestedCalls: initialNestedCalls, directShare: 1 };
         const share = computeRetryBudgetShare(this.options, this.nodeCount, stats);
-        const created: RouteBudget = { budget: new RetryBudget(share, this.readNowMs()), ...stats };
+        const created: RouteBudget = {
+            budget: new RetryBudget(share, this.readNowMs()),
+            valueShares: Array.from({ length: retryValueCount }, () => 0),
+            ...stats,
+        };
         this.routes.set(route, created);
         return created;
     }
--- a/src/relay/activeRequests.ts
+++ b/src/relay/activeRequests.ts
@@ -3,6 +3,8 @@
 
 /** A request that the local upstream is serving, with the totals of its nested requests. */
 export interface ActiveRequest {
+    /** Number of nested calls that have succeeded. */
+    succeededNestedCalls: number;
     /** Number of nested calls whose answers have reported congestion. */
     answeredNestedCalls: number;
     /** Sum of the congestion values that these answers reported, each 0 to 1. */
@@ -25,6 +27,7 @@
 
     add({ requestId, isRetry, rank }: Pick<HopRequest, "requestId" | "isRetry" | "rank">): ActiveRequest {
         const request: ActiveRequest = {
+            succeededNestedCalls: 0,
             answeredNestedCalls: 0,
             congestionSum: 0,
             nestedCalls: 0,
--- a/src/relay/entry/requestSender.ts
+++ b/src/relay/entry/requestSender.ts
@@ -5,6 +5,7 @@
 import { type Route } from "../../routing/types";
 import { type AnswerHead, type AnswerSink, DiscardingSink } from "../../tasks/_lib/answerSink";
 import { type Timeout } from "../../tasks/_lib/timerWheel";
+import { type BudgetedRequest } from "../_lib/retryBudgets";
 import { type ActiveRequest, recordNestedAnswer } from "../activeRequests";
 import { type LogFields } from "../log";
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport, type NotRunReason } from "../types";
@@ -82,7 +83,7 @@
     /** Starts the first hop and schedules a hedge; returns false if no upstream is available. */
     start(): boolean {
         const { route, parent } = this.input;
-        this.dependencies.retryBudgets.recordRequest(route.name, parent?.isRetry === true);
+        this.dependencies.retryBudgets.recordRequest(route.name, this.describeForBudget(), parent?.isRetry === true);
         if (!this.sendNext(false)) {
             return false;
         }
@@ -196,8 +197,13 @@
     }
 
     private tryRetry(): boolean {
-        const { route, request } = this.input;
-        return this.dependencies.retryBudgets.tryConsume(route.name, request.nested) && this.sendNext(true);
+        const isPermitted = this.dependencies.retryBudgets.tryConsume(this.input.route.name, this.describeForBudget());
+        return isPermitted && this.sendNext(true);
+    }
+
+    private describeForBudget(): BudgetedRequest {
+        const { parent, request: { nested, rank } } = this.input;
+        return { nested, rank, succeededSiblings: parent?.succeededNestedCalls ?? 0 };
     }
 
     private isReplayable(): boolean {
@@ -246,7 +252,10 @@
             this.recordNotRun(upstreamId, result.reason);
         }
         if (isSuccess(result)) {
-            const { name } = this.input.route;
+            const { route: { name }, parent } = this.input;
+            if (parent) {
+                parent.succeededNestedCalls += 1;
+            }
             this.dependencies.answerTimes.record(name, this.dependencies.readNowMs() - sentAtMs);
             if (report) {
                 this.dependencies.retryBudgets.recordAnswer(name, this.input.request.nested, report);
