Cut off no accepted request in a planned stop

Now all answers of a leaving node announce the end, but only on the latest request of a connection; a refusal waits for the end of the turn in which the rest of its pipeline is read. Connections stay open for 250 ms after the listener has closed, and requests that arrive then are refused as not run.

Ruled out: fresh connections that are accepted but have sent nothing (Node.js doesn't count them as idle). Not solved: connections that the kernel hasn't handed over yet are reset when a listener closes; the platform takes a leaving node out of use 2.3 s before.

--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -26,6 +26,7 @@
 const defaultDeadlineMs = 30_000;
 /** Delay of the refusal after the deadline, so that an answer sent just in time can still arrive, in milliseconds. */
 const expiryMarginMs = 5;
+const closingHeaders: readonly string[] = ["Connection", "close"];
 
 /** Validates a request, reads its body, sends it to an upstream and writes the answer. */
 export class EntryCall implements SendHandler {
@@ -83,7 +84,7 @@
         wheel.remove(this.deadlineTimeout);
         const remainingMs = this.startedAtMs + this.parseDeadlineMs() - readNowMs();
         this.deadlineTimeout = wheel.add(remainingMs + expiryMarginMs, () => this.expire());
-        this.request.sink.start(head);
+        this.request.sink.start(this.addClosing(head));
         return new CallStream(this.request.sink, outcome => {
             this.isComplete = true;
             this.end(outcome, head.status);
@@ -93,7 +94,7 @@
     finish({ result, upstreamId, mayHaveRun }: SendResult): void {
         if (result.kind === "answered") {
             this.isComplete = true;
-            sendBufferedAnswer(this.request.sink, this.request.method, result.head, result.body!);
+            sendBufferedAnswer(this.request.sink, this.request.method, this.addClosing(result.head), result.body!);
             this.end("answered", result.head.status);
             return;
         }
@@ -196,9 +197,13 @@
             this.parent.nestedCallRefused = true;
             this.dependencies.shedding.recordNestedAnswer(this.route?.name ?? "", 1);
         }
-        const { request } = this;
-        const isClosing = problem.reason === "leaving" || request.hasUnreadBody();
-        sendProblem(request.sink, problem, isClosing ? ["Connection", "close"] : []);
+        if (problem.reason === leavingProblem.reason) {
+            // Requests that follow in the same pipeline are read in this turn of the event loop.
+            setImmediate(() => this.sendRefusal(problem));
+        }
+        else {
+            this.sendRefusal(problem);
+        }
         this.writeLog("request-refused", {
             status: problem.status,
             reason: problem.reason,
@@ -208,6 +213,21 @@
         this.end(problem.reason, problem.status);
     }
 
+    private sendRefusal(problem: Problem): void {
+        const { request } = this;
+        const isClosing = request.hasUnreadBody() || this.isConnectionClosing();
+        sendProblem(request.sink, problem, isClosing ? closingHeaders : []);
+    }
+
+    /** Whether the node leaves, so that the caller must not send another request over the connection. */
+    private isConnectionClosing(): boolean {
+        return this.dependencies.computeTimeLeftMs() < Infinity && this.request.isLatestOnConnection();
+    }
+
+    private addClosing(head: AnswerHead): AnswerHead {
+        return this.isConnectionClosing() ? { ...head, rawHeaders: [...head.rawHeaders, ...closingHeaders] } : head;
+    }
+
     private end(outcome: string, status: number): void {
         const { wheel, metrics, readNowMs } = this.dependencies;
         wheel.remove(this.deadlineTimeout);
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -165,6 +165,7 @@
         });
         this.log.writeAlways("node-stopping", { pending: this.entry.pending, atUpstream: this.ingress.pending });
         this.source.stop();
+        this.stopping.beginClosing();
         await this.listeners?.close();
         this.peers.stop();
         this.pauseGuard.stop();
--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -12,6 +12,7 @@
 /** Records the stop signal and computes the time that is left after it. */
 export class Stopping {
     private signalAtMs: number | undefined;
+    private isClosing = false;
 
     constructor(private readonly readBounds: () => StopBounds, private readonly readNowMs: () => number) {}
 
@@ -29,6 +30,11 @@
         return true;
     }
 
+    /** Records that the listeners close: requests that still arrive are refused, since nothing waits for their answers. */
+    beginClosing(): void {
+        this.isClosing = true;
+    }
+
     /**
      * Computes how long a direct request that starts now may take, in milliseconds. Returns Infinity until callers have
      * observed that the node is leaving, and then the time until the process begins to close.
@@ -37,6 +43,9 @@
         if (this.signalAtMs === undefined) {
             return Infinity;
         }
+        if (this.isClosing) {
+            return 0;
+        }
         const { leaveAfterMs, stopGraceMs } = this.readBounds();
         const elapsedMs = this.readNowMs() - this.signalAtMs;
         return elapsedMs < leaveAfterMs ? Infinity : stopGraceMs - stopMarginMs - elapsedMs;
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -1,5 +1,6 @@
 /** Requests as the ingress and the egress handle them, independent of whether they arrived over HTTP. */
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
 import { maxReplayBodyBytes } from "../../constants";
 import { type AnswerSink, ResponseSink } from "./answerSink";
 import { findHeader, replacedRequestHeaders, stripHeaders } from "./headers";
@@ -18,6 +19,11 @@
      * The connection should then be closed with the answer, since its rest would have to be read first.
      */
     hasUnreadBody(): boolean;
+    /**
+     * Whether no later request has been received over the same connection. The connection may close with the answer
+     * only then: the answers to pipelined requests that follow would be lost.
+     */
+    isLatestOnConnection(): boolean;
     /** Reads the body into memory or opens its stream, as the options require, then calls `onFinished` once. */
     readBody(options: BodyOptions, onFinished: (result: BodyResult) => void): void;
     /** Calls `handle` if the client closes the connection before the answer is complete. */
@@ -45,6 +51,9 @@
     return rawHeaders;
 };
 
+/** The latest request that each connection has received. */
+const latestRequests = new WeakMap<Socket, IncomingMessage>();
+
 /** Request that was received over HTTP. */
 export class HttpCallRequest implements CallRequest {
     readonly method: string;
@@ -57,6 +66,7 @@
         this.url = request.url!;
         this.rawHeaders = request.rawHeaders;
         this.sink = new ResponseSink(response);
+        latestRequests.set(request.socket, request);
     }
 
     hasUnreadBody(): boolean {
@@ -64,6 +74,10 @@
         return !this.request.complete && length > maxReplayBodyBytes;
     }
 
+    isLatestOnConnection(): boolean {
+        return latestRequests.get(this.request.socket) === this.request;
+    }
+
     readBody(options: BodyOptions, onFinished: (result: BodyResult) => void): void {
         if (findHeader(this.rawHeaders, "expect") !== undefined) {
             this.response.writeContinue();
--- a/src/tasks/_lib/openListener.ts
+++ b/src/tasks/_lib/openListener.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import { closeGraceMs, listenerKeepAliveMs, maxHeaderBytes } from "../../constants";
 import { type Address } from "../../types";
 
@@ -29,18 +30,25 @@
     });
 };
 
+/** Time in which a request may arrive over a connection that has been accepted already, in milliseconds. */
+const acceptedRequestMs = 250;
+
 /**
- * Closes a listener: idle connections at once, all others after `closeGraceMs` at the latest.
- * Without that limit, a client that keeps sending the body of an answered request would delay the closing.
+ * Closes a listener. Connections stay open for `acceptedRequestMs`, since a request may be under way on them; then idle
+ * ones are closed, and all others after `closeGraceMs` at the latest: a client that keeps sending the body of an answered
+ * request would delay the closing otherwise.
  */
 export const closeListener = (server: Server): Promise<void> =>
     new Promise(resolve => {
-        const timer = setTimeout(() => server.closeAllConnections(), closeGraceMs);
-        server.close(() => {
-            clearTimeout(timer);
+        const idleTimer = setTimeout(() => server.close(), acceptedRequestMs);
+        const graceTimer = setTimeout(() => server.closeAllConnections(), closeGraceMs);
+        // The method of the HTTP server would also close idle connections at once.
+        NetServer.prototype.close.call(server, () => {
+            clearTimeout(idleTimer);
+            clearTimeout(graceTimer);
+            server.close();
             resolve();
         });
-        server.closeIdleConnections();
     });
 
 /** Discards the rest of the body of a request that was answered before its body was complete. */
--- a/src/testing/fakeExchange.ts
+++ b/src/testing/fakeExchange.ts
@@ -22,6 +22,10 @@
         return false;
     }
 
+    isLatestOnConnection(): boolean {
+        return true;
+    }
+
     readBody(options: BodyOptions, finish: (result: BodyResult) => void): void {
         const isTooLarge = this.body !== undefined && this.body.length > options.maxBytes;
         finish(isTooLarge ? { kind: "too-large" } : { kind: "body", body: this.body });
