--- a/scripts/warmUp.mjs
+++ b/scripts/warmUp.mjs
@@ -3,7 +3,7 @@
 import { once } from "node:events";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, request } from "node:http";
-import { tmpdir } from "node:os";
+import { dirname } from "node:path";
 import { setTimeout as awaitDelay } from "node:timers/promises";
 import { root } from "./bundle.mjs";
 
@@ -22,7 +22,7 @@
 /** Longest time that the warm-up may take, in milliseconds. */
 const timeoutMs = 20_000;
 
-const encode = value => Buffer.from(typeof value === "string" ? value : JSON.stringify(value)).toString("base64");
+const encode = value => Buffer.from(JSON.stringify(value)).toString("base64");
 
 const listItems = () => [
     {
@@ -132,7 +132,7 @@
 
 /** Runs two nodes on the loopback interface, sends requests through them and lets the first one write its code cache. */
 export const writeCodeCache = async programFile => {
-    const folder = mkdtempSync(`${tmpdir()}/pomelovalve-`);
+    const folder = mkdtempSync(`${dirname(programFile)}/warm-up-`);
     const servers = await Promise.all([
         openServer(hosts[0], ports.store, answerAsStore),
         ...hosts.map(host => openServer(host, ports.app, answerAsUpstream)),
