--- a/scripts/warmUp.mjs
+++ b/scripts/warmUp.mjs
@@ -8,7 +8,7 @@
 import { root } from "./bundle.mjs";
 
 /** Hosts of the two nodes; the first one writes the code cache. */
-const hosts = ["127.0.0.1", "127.0.0.2"];
+const hosts = ["127.77.0.1", "127.77.0.2"];
 const firstPort = 20_000 + Math.floor(Math.random() * 10_000);
 const ports = {
     outbound: firstPort,
