Check what arrives over links before it is used

Fuzzing the frames between nodes (fast-check, bytes, well-formed frames with fields of any type, in any order) found a TypeError in the listener: a request whose headers are no list was passed on, and threw after it had taken a slot. A name with a space in the configuration broke the hop fields, so that every hop of that route closed its link; a number that isn't one would have spoiled the means that it enters.

Change: fields of request and answer frames are checked; an invalid request closes the connection, an invalid answer counts as lost. Names are escaped where they need it. Properties: a reader returns frames or nothing (2,000 runs), a listener passes on only well-formed requests and serves the next connection (300), a client settles each request once (300).

--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -34,40 +34,81 @@
 const nestedCallRefusedCode = "ran-refused-below";
 const notRunPrefix = "not-run:";
 
+/** Matches characters that can't be part of a field: all but visible ASCII, and the escape character. */
+const unsafeCharacters = /[^!-$&-~]/u;
+
+const loneSurrogates = /\p{Surrogate}/gu;
+
+const encodeName = (name: string): string =>
+    unsafeCharacters.test(name) ? encodeURIComponent(name.replaceAll(loneSurrogates, "\ufffd")) : name;
+
+/** Decodes a name; returns undefined if its escape sequences are invalid. */
+const decodeName = (text: string): string | undefined => {
+    try {
+        return text.includes("%") ? decodeURIComponent(text) : text;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+/** Parses numbers that aren't negative; returns undefined if one of them is invalid. */
+const parseNumbers = (texts: readonly string[]): readonly number[] | undefined => {
+    const numbers = texts.map(text => text === "" ? NaN : Number(text));
+    return numbers.every(number => number >= 0 && number < Infinity) ? numbers : undefined;
+};
+
 /** Encodes the fields of a request. */
 export const encodeHopRequest = (hopRequest: HopRequestFields): string =>
     [
         Math.max(0, Math.floor(hopRequest.remainingMs)),
-        hopRequest.callerService,
-        hopRequest.upstreamId,
+        encodeName(hopRequest.callerService),
+        encodeName(hopRequest.upstreamId),
         hopRequest.idempotent ? "i" : "u",
         hopRequest.nested ? "n" : "d",
         hopRequest.isRetry ? "r" : "f",
         hopRequest.rank,
         hopRequest.targetLatencyMs,
-        hopRequest.route,
+        encodeName(hopRequest.route),
         hopRequest.version,
     ].join(" ");
 
-/** Parses the fields of a request; returns undefined if they are missing or their number is wrong. */
+/** Parses the fields of a request; returns undefined if they are missing or invalid. */
 export const parseHopRequest = (text: string | undefined): HopRequestFields | undefined => {
     const fields = text?.split(" ") ?? [];
     if (fields.length !== requestFieldCount) {
         return undefined;
     }
-    const [remaining, callerService, upstreamId, idempotency, origin, attempt, rank, targetLatency, route, version] =
-        fields as string[];
+    const [
+        remaining,
+        callerText,
+        upstreamText,
+        idempotency,
+        origin,
+        attempt,
+        rankText,
+        target,
+        routeText,
+        versionText,
+    ] = fields as string[];
+    const numbers = parseNumbers([remaining!, rankText!, target!, versionText!]);
+    const names = [callerText!, upstreamText!, routeText!].map(decodeName);
+    const [callerService, upstreamId, route] = names;
+    if (!numbers || callerService === undefined || upstreamId === undefined || route === undefined) {
+        return undefined;
+    }
+    const [remainingMs, rank, targetLatencyMs, version] = numbers as number[];
     return {
-        remainingMs: Number(remaining),
-        callerService: callerService!,
-        upstreamId: upstreamId!,
+        remainingMs: remainingMs!,
+        callerService,
+        upstreamId,
         idempotent: idempotency === "i",
         nested: origin === "n",
         isRetry: attempt === "r",
-        rank: Number(rank),
-        targetLatencyMs: Number(targetLatency),
-        route: route!,
-        version: Number(version),
+        rank: rank!,
+        targetLatencyMs: targetLatencyMs!,
+        route,
+        version: version!,
     };
 };
 
@@ -110,36 +151,31 @@
         report.version,
     ].join(" ");
 
-/** Parses the fields of an answer; returns undefined if they are missing or their number is wrong. */
+/** Parses the fields of an answer; returns undefined if they are missing or invalid. */
 export const parseHopAnswer = (text: string | undefined): HopAnswerFields | undefined => {
     const fields = text?.split(" ") ?? [];
     if (fields.length !== answerFieldCount) {
         return undefined;
     }
-    const [
-        outcomeCode,
-        congestion,
-        inFlight,
-        queued,
-        limit,
-        meanServiceMs,
-        leaving,
-        directShare,
-        nestedCalls,
-        version,
-    ] = fields as string[];
+    const [outcomeCode, ...numberTexts] = fields as string[];
+    const numbers = parseNumbers(numberTexts);
+    if (!numbers) {
+        return undefined;
+    }
+    const [congestion, inFlight, queued, limit, meanServiceMs, leaving, directShare, nestedCalls, version] =
+        numbers as number[];
     return {
         outcome: parseOutcome(outcomeCode!),
         report: {
-            congestion: Number(congestion),
-            inFlight: Number(inFlight),
-            queued: Number(queued),
-            limit: Number(limit),
-            meanServiceMs: Number(meanServiceMs),
-            leaving: leaving === "1",
-            directShare: Number(directShare),
-            nestedCalls: Number(nestedCalls),
-            version: Number(version),
+            congestion: congestion!,
+            inFlight: inFlight!,
+            queued: queued!,
+            limit: limit!,
+            meanServiceMs: meanServiceMs!,
+            leaving: leaving === 1,
+            directShare: directShare!,
+            nestedCalls: nestedCalls!,
+            version: version!,
         },
     };
 };
--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -1,11 +1,12 @@
 /** Client side of a link, a connection over which a node sends requests to another node. */
 import { connect, type Socket } from "node:net";
-import { type AnswerSink } from "../../tasks/_lib/answerSink";
+import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type Address } from "../../types";
 import { type HopAnswerFields, parseHopAnswer } from "../hop/headers";
 import { type HopHandler, type HopRequest, type HopResult } from "../types";
 import { type Frame, frameKinds } from "./frames";
 import { FrameSocket } from "./frameSocket";
+import { parseAnswerHead } from "./parseMessages";
 
 /** Timeout for opening a connection, in milliseconds. Allows several round trips between failure domains. */
 const connectTimeoutMs = 400;
@@ -141,7 +142,7 @@
                 this.startStream(pending, fields);
                 return;
             case frameKinds.chunk:
-                this.forwardChunk(id, pending, fields[0] as Buffer);
+                this.forwardChunk(id, pending, fields[0]);
                 return;
             case frameKinds.streamEnd:
                 this.pendingRequests.delete(id);
@@ -157,20 +158,26 @@
 
     private settle({ handler }: PendingRequest, [encodedAnswer, status, rawHeaders, body]: readonly unknown[]): void {
         const answer = parseHopAnswer(String(encodedAnswer));
-        handler.settle(deriveHopResult(answer, { status, rawHeaders, body } as AnswerFrameFields), answer?.report);
+        handler.settle(deriveHopResult(answer, parseAnswerHead(status, rawHeaders), body), answer?.report);
     }
 
     private startStream(pending: PendingRequest, [encodedAnswer, status, rawHeaders]: readonly unknown[]): void {
+        const head = parseAnswerHead(status, rawHeaders);
+        if (!head || pending.sink) {
+            this.frames.abort();
+            return;
+        }
         pending.answer = parseHopAnswer(String(encodedAnswer));
-        pending.sink = pending.handler.openStream({
-            status: Number(status),
-            rawHeaders: rawHeaders as readonly string[],
-        });
+        pending.sink = pending.handler.openStream(head);
     }
 
-    private forwardChunk(id: number, pending: PendingRequest, chunk: Buffer): void {
+    private forwardChunk(id: number, pending: PendingRequest, chunk: unknown): void {
         const { sink } = pending;
-        if (!sink || sink.write(chunk) || pending.isPaused) {
+        if (!sink || !Buffer.isBuffer(chunk)) {
+            this.frames.abort();
+            return;
+        }
+        if (sink.write(chunk) || pending.isPaused) {
             return;
         }
         pending.isPaused = true;
@@ -206,13 +213,6 @@
     }
 }
 
-/** Fields of an answer frame after the encoded outcome and report. */
-interface AnswerFrameFields {
-    readonly status: number;
-    readonly rawHeaders: readonly string[];
-    readonly body: Buffer;
-}
-
 /** Creates the result of a streamed answer; its head is a placeholder, since `openStream` has received the real one. */
 const createStreamedResult = (): HopResult => ({
     kind: "answered",
@@ -223,14 +223,15 @@
 
 const deriveHopResult = (
     answer: HopAnswerFields | undefined,
-    { status, rawHeaders, body }: AnswerFrameFields,
+    head: AnswerHead | undefined,
+    body: unknown,
 ): HopResult => {
     const outcome = answer?.outcome;
     if (outcome?.kind === "not-run") {
         return outcome;
     }
-    if (outcome?.kind !== "ran") {
+    if (outcome?.kind !== "ran" || !head || !Buffer.isBuffer(body)) {
         return { kind: "may-have-run", cause: "connection" };
     }
-    return { kind: "answered", head: { status, rawHeaders }, body, nestedCallRefused: outcome.nestedCallRefused };
+    return { kind: "answered", head, body, nestedCallRefused: outcome.nestedCallRefused };
 };
--- a/src/relay/link/linkServer.ts
+++ b/src/relay/link/linkServer.ts
@@ -12,6 +12,7 @@
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport } from "../types";
 import { type Frame, frameKinds } from "./frames";
 import { FrameSocket } from "./frameSocket";
+import { parseRequestMessage, type RequestMessage } from "./parseMessages";
 
 /** Functions through which links pass requests to the local node. */
 export interface LinkServerDependencies {
@@ -82,20 +83,15 @@
         }
     }
 
-    private serve(id: number, [encodedRequest, requestId, method, path, rawHeaders, body]: readonly unknown[]): void {
-        const fields = parseHopRequest(String(encodedRequest));
-        if (!fields) {
+    private serve(id: number, [encodedRequest, ...messageFields]: readonly unknown[]): void {
+        const fields = typeof encodedRequest === "string" ? parseHopRequest(encodedRequest) : undefined;
+        const message = parseRequestMessage(messageFields);
+        if (!fields || !message || this.servedRequests.has(id)) {
             this.frames.abort();
             return;
         }
         this.dependencies.onVersionSeen(this.host, fields.version);
-        const hopRequest = this.createHopRequest(fields, {
-            requestId: String(requestId),
-            method: String(method),
-            path: String(path),
-            rawHeaders: rawHeaders as readonly string[],
-            body: body as Buffer | undefined ?? undefined,
-        });
+        const hopRequest = this.createHopRequest(fields, message);
         const served: ServedRequest = { cancel: () => undefined, stream: undefined };
         this.servedRequests.set(id, served);
         served.cancel = this.dependencies.serve(hopRequest, {
@@ -115,7 +111,7 @@
 
     private createHopRequest(
         fields: HopRequestFields,
-        request: Pick<HopRequest, "requestId" | "method" | "path" | "rawHeaders" | "body">,
+        request: RequestMessage,
     ): HopRequest {
         return { ...fields, ...request, deadlineAtMs: this.dependencies.computeDeadline(fields.remainingMs) };
     }
