--- a/scripts/warmUp.mjs
+++ b/scripts/warmUp.mjs
@@ -58,7 +58,7 @@
     })),
 ];
 
-/** Opens an HTTP server on the loopback interface that answers with the JSON text or the headers of `answer`. */
+/** Opens an HTTP server on the loopback interface; `answer` is called when a request has arrived completely. */
 const openServer = async (host, port, answer) => {
     const server = createServer((incoming, response) => {
         incoming.resume();
--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -52,10 +52,10 @@
     }
 };
 
-/** Parses numbers that aren't negative; returns undefined if one of them is invalid. */
+/** Parses finite numbers; returns undefined if one of them is invalid. */
 const parseNumbers = (texts: readonly string[]): readonly number[] | undefined => {
     const numbers = texts.map(text => text === "" ? NaN : Number(text));
-    return numbers.every(number => number >= 0 && number < Infinity) ? numbers : undefined;
+    return numbers.every(Number.isFinite) ? numbers : undefined;
 };
 
 /** Encodes the fields of a request. */
@@ -98,6 +98,9 @@
         return undefined;
     }
     const [remainingMs, rank, targetLatencyMs, version] = numbers as number[];
+    if (remainingMs! < 0) {
+        return undefined;
+    }
     return {
         remainingMs: remainingMs!,
         callerService,
@@ -159,7 +162,7 @@
     }
     const [outcomeCode, ...numberTexts] = fields as string[];
     const numbers = parseNumbers(numberTexts);
-    if (!numbers) {
+    if (!numbers || numbers.some(number => number < 0)) {
         return undefined;
     }
     const [congestion, inFlight, queued, limit, meanServiceMs, leaving, directShare, nestedCalls, version] =
