Derive the delays of the fleet tracker from its clock

The tracker took a clock and a function that waits, and each of its users wrote that function again (the program, the virtual network, the virtual store). One awaitDelay beside the clock serves all; no delay changes.

--- a/src/relay/fleet/changeWaiters.ts
+++ b/src/relay/fleet/changeWaiters.ts
@@ -1,8 +1,10 @@
+import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+
 /** Queries of other nodes that wait for a change. */
 export class ChangeWaiters {
     private readonly waiters = new Set<() => void>();
 
-    constructor(private readonly awaitDelay: (delayMs: number) => Promise<void>) {}
+    constructor(private readonly clock: Clock) {}
 
     /** Resolves at the next `release`, or after `waitMs` milliseconds. */
     async awaitRelease(waitMs: number): Promise<void> {
@@ -11,7 +13,7 @@
             resolveWait = resolve;
             this.waiters.add(resolveWait);
         });
-        await Promise.race([released, this.awaitDelay(waitMs)]);
+        await Promise.race([released, awaitDelay(this.clock, waitMs)]);
         this.waiters.delete(resolveWait);
     }
 
--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -1,6 +1,7 @@
 /** A node's view of the fleet with what depends on it: the ranking of the nodes, the listener and waiting queries. */
 import { comparePositions } from "../../decisions/comparePositions";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
+import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
 import { type SourceListener } from "../source";
 import { ChangeWaiters } from "./changeWaiters";
 import { FleetView } from "./fleetView";
@@ -13,12 +14,11 @@
 /** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
 const expiryCheckMs = 200;
 
-/** Place of a node and its sources of time. */
+/** Place of a node, the id of its view and its clock. */
 export interface FleetStateOptions extends RankingPlace {
     /** Id of this node's view, unique over nodes and restarts. */
     readonly viewId: string;
-    readonly readNowMs: () => number;
-    readonly awaitDelay: (delayMs: number) => Promise<void>;
+    readonly clock: Clock;
 }
 
 /** Applies what the store and other nodes have answered, and answers the queries of other nodes. */
@@ -36,9 +36,9 @@
     private readonly waiters: ChangeWaiters;
 
     constructor(private readonly options: FleetStateOptions, private readonly listener: SourceListener) {
-        this.view = new FleetView(options.viewId, options.readNowMs);
-        this.ranking = new PeerRanking(options, options.readNowMs);
-        this.waiters = new ChangeWaiters(options.awaitDelay);
+        this.view = new FleetView(options.viewId, options.clock.readMonotonicMs);
+        this.ranking = new PeerRanking(options, options.clock.readMonotonicMs);
+        this.waiters = new ChangeWaiters(options.clock);
     }
 
     /** Whether the node reads the store itself and its last query succeeded. */
@@ -146,7 +146,7 @@
     private async expireMissing(): Promise<void> {
         this.isExpiryPending = true;
         while (this.view.hasMissing) {
-            await this.options.awaitDelay(expiryCheckMs);
+            await awaitDelay(this.options.clock, expiryCheckMs);
             if (this.view.expireMissing()) {
                 this.publishUpstreams();
             }
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -1,6 +1,6 @@
 /** Keeps a node's view of the fleet current: two nodes of each failure domain watch the store, the others ask them. */
 import { type UpstreamRecord } from "../../routing/types";
-import { type Clock } from "../../tasks/_lib/clock";
+import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
 import { type FleetSource, type SourceListener } from "../source";
 import { FleetState, platformPlace } from "./fleetState";
 import { type RankingPlace } from "./peerRanking";
@@ -45,7 +45,6 @@
     readonly reader: StoreReader;
     readonly client: ChangesClient;
     readonly clock: Clock;
-    readonly awaitDelay: (delayMs: number) => Promise<void>;
     /** Returns a random number in [0, 1). */
     readonly sampleRandom: () => number;
 }
@@ -63,8 +62,7 @@
     constructor(private readonly options: FleetTrackerOptions) {}
 
     start(listener: SourceListener): void {
-        const readNowMs = this.options.clock.readMonotonicMs;
-        this.state = new FleetState({ ...this.options, readNowMs }, listener);
+        this.state = new FleetState(this.options, listener);
         void this.runTracking(this.state);
     }
 
@@ -103,7 +101,7 @@
      */
     private async findPeers(state: FleetState): Promise<void> {
         const startedAtMs = this.readNowMs();
-        const { reader, awaitDelay, sampleRandom, isFirstStart } = this.options;
+        const { reader, clock, sampleRandom, isFirstStart } = this.options;
         let vainLookups = 0;
         while (vainLookups < maxVainLookups && this.readNowMs() - startedAtMs < maxLookupMs && !this.isStopped) {
             const reading = await reader.readAll({ allowStale: isFirstStart });
@@ -117,7 +115,7 @@
             if (await this.takeOverView(state) || state.ranking.hasPeers) {
                 return;
             }
-            await awaitDelay(lookupPauseMs * (0.5 + sampleRandom()));
+            await awaitDelay(clock, lookupPauseMs * (0.5 + sampleRandom()));
         }
     }
 
@@ -167,7 +165,7 @@
             return;
         }
         state.reportPlace(host, "watches the platform");
-        await this.options.awaitDelay(isApplied ? peerPauseMs : outdatedPauseMs);
+        await awaitDelay(this.options.clock, isApplied ? peerPauseMs : outdatedPauseMs);
     }
 
     private recordPeerFailure(state: FleetState, host: string, reason: string): void {
@@ -186,10 +184,10 @@
     /** Reads the store now and then while the asked nodes can't; if that succeeds, this node watches it itself. */
     private async readChangesInTurn(state: FleetState): Promise<void> {
         const nowMs = this.readNowMs();
-        const { sampleRandom, awaitDelay } = this.options;
+        const { sampleRandom, clock } = this.options;
         this.nextDirectAtMs ??= nowMs + sampleRandom() * directIntervalMs / 2;
         if (nowMs < this.nextDirectAtMs) {
-            await awaitDelay(outdatedPauseMs);
+            await awaitDelay(clock, outdatedPauseMs);
             return;
         }
         this.nextDirectAtMs = nowMs + directIntervalMs * (0.5 + sampleRandom());
@@ -226,7 +224,7 @@
         }
         state.reportPlace(platformPlace, "watches it for other nodes");
         if (state.view.serial !== serial) {
-            await this.options.awaitDelay(changeBatchMs);
+            await awaitDelay(this.options.clock, changeBatchMs);
         }
     }
 
@@ -247,9 +245,9 @@
     }
 
     private awaitRetryDelay(): Promise<void> {
-        const { awaitDelay, sampleRandom } = this.options;
+        const { clock, sampleRandom } = this.options;
         const delayMs = Math.min(maxRetryDelayMs, initialRetryDelayMs * 2 ** Math.min(this.failureCount - 1, 8));
-        return awaitDelay(delayMs * (0.5 + sampleRandom() / 2));
+        return awaitDelay(clock, delayMs * (0.5 + sampleRandom() / 2));
     }
 
     private readNowMs(): number {
--- a/src/tasks/_lib/clock.ts
+++ b/src/tasks/_lib/clock.ts
@@ -10,6 +10,12 @@
     readonly startTimeout: (delayMs: number, handle: () => void) => () => void;
 }
 
+/** Resolves after a delay, in milliseconds. */
+export const awaitDelay = (clock: Clock, delayMs: number): Promise<void> =>
+    new Promise(resolve => {
+        clock.startTimeout(delayMs, resolve);
+    });
+
 /** Clock of the operating system; its timers don't keep the process running. */
 export const systemClock: Clock = {
     readMonotonicMs: () => performance.now(),
--- a/src/testing/virtualStore.ts
+++ b/src/testing/virtualStore.ts
@@ -1,6 +1,7 @@
 /** Store of the platform on a virtual clock, for tests of nodes that read it. */
 import { type FleetBatch, type StoreReader, type StoreReading } from "../relay/fleet/types";
 import { type RoutingTable, type StorePosition, type UpstreamRecord } from "../routing/types";
+import { awaitDelay } from "../tasks/_lib/clock";
 import { createRoutingTable } from "./createRoute";
 import { type VirtualClock } from "./virtualClock";
 
@@ -68,12 +69,12 @@
         return {
             readAll: async ({ allowStale }) => {
                 this.countCall(allowStale);
-                await this.awaitDelay(answerMs);
+                await awaitDelay(this.clock, answerMs);
                 return this.isTurnedAway(name) ? createFailure() : this.createReading(this.createFullBatch());
             },
             watch: async (position, waitMs) => {
                 this.countCall(false);
-                await this.awaitDelay(answerMs);
+                await awaitDelay(this.clock, answerMs);
                 return this.serveWatch(name, position, this.clock.readMonotonicMs() + waitMs);
             },
             close: () => undefined,
@@ -92,7 +93,7 @@
             if (events.length > 0 || this.clock.readMonotonicMs() >= untilMs) {
                 return this.createReading(this.createChangeBatch(events));
             }
-            await this.awaitDelay(pollMs);
+            await awaitDelay(this.clock, pollMs);
         }
     }
 
@@ -129,10 +130,6 @@
         this.callCount += isStale ? 0 : 1;
         this.staleCallCount += isStale ? 1 : 0;
     }
-
-    private awaitDelay(delayMs: number): Promise<void> {
-        return new Promise(resolve => this.clock.schedule(delayMs, resolve));
-    }
 }
 
 const createFailure = (): StoreReading => ({ kind: "failed", detail: "turned away" });
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -3,6 +3,7 @@
 import { FleetTracker } from "../relay/fleet/fleetTracker";
 import { type FleetChanges } from "../relay/fleet/types";
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { awaitDelay } from "../tasks/_lib/clock";
 import { createUpstreamRecord } from "./createRoute";
 import { VirtualClock } from "./virtualClock";
 import { VirtualStore } from "./virtualStore";
@@ -28,8 +29,6 @@
     readonly clock = new VirtualClock();
     readonly store = new VirtualStore(this.clock);
     readonly nodes: TrackerNode[] = [];
-    private readonly awaitDelay = (delayMs: number): Promise<void> =>
-        new Promise(resolve => this.clock.schedule(delayMs, resolve));
 
     /** Registers the upstreams of `count` nodes over two failure domains, and starts the nodes. */
     constructor(count: number) {
@@ -58,12 +57,11 @@
                 queryChanges: (peer, query) =>
                     Promise.race([
                         this.forwardQuery(peer, node => node.tracker.awaitChanges(query)),
-                        this.awaitDelay(query.waitMs + answerTimeoutMs).then(() => undefined),
+                        awaitDelay(this.clock, query.waitMs + answerTimeoutMs).then(() => undefined),
                     ]),
                 close: () => undefined,
             },
             clock: this.clock,
-            awaitDelay: this.awaitDelay,
             sampleRandom: createRandom(seed),
         });
         const node: TrackerNode = { host, failureDomain, tracker, table: undefined, records: [], isSilent: false };
@@ -102,13 +100,13 @@
         host: string,
         query: (node: TrackerNode) => Promise<FleetChanges>,
     ): Promise<FleetChanges | undefined> {
-        await this.awaitDelay(hopMs);
+        await awaitDelay(this.clock, hopMs);
         const node = this.nodes.find(candidate => candidate.host === host);
         if (!node || node.isSilent) {
             return new Promise(() => undefined);
         }
         const changes = await query(node);
-        await this.awaitDelay(hopMs);
+        await awaitDelay(this.clock, hopMs);
         // Answers cross the network as text.
         return node.isSilent ? new Promise(() => undefined) : JSON.parse(JSON.stringify(changes)) as FleetChanges;
     }
