Share what the tests and the parsers wrote twice

isMissing stood in platform/decodeRouting and again in relay/link/parseMessages; load reports were built in five tests, the text of a request in two, a chunked head five times in one.

--- a/src/relay/_lib/retryBudgets.test.ts
+++ b/src/relay/_lib/retryBudgets.test.ts
@@ -1,5 +1,6 @@
 /** Load pattern: a deep service rejects half of the nested calls that many trees of different rank make to it. */
 import { createRandom } from "../../_lib/createRandom";
+import { createReport } from "../../testing/createReport";
 import { type BudgetedRequest, RetryBudgets } from "./retryBudgets";
 
 const windowMs = 10_000;
@@ -27,7 +28,6 @@
     const sampleRandom = createRandom(seed);
     const budgets = new RetryBudgets({ ratio: 0.2, slack: 213, windowMs }, () => nowMs);
     budgets.updateNodeCount(195);
-    const report = { inFlight: 0, queued: 0, limit: 10, meanServiceMs: 100, directShare: 1, congestion: 0 };
     const outcome: Outcome = {
         important: { trees: 0, complete: 0, retries: 0 },
         ordinary: { trees: 0, complete: 0, retries: 0 },
@@ -40,7 +40,7 @@
             }
             counts.retries += 1;
         }
-        budgets.recordAnswer("stock", true, { ...report, nestedCalls: 0, leaving: false, version: 1 });
+        budgets.recordAnswer("stock", true, createReport());
         return true;
     };
     const runTrees = (untilMs: number, rejectedShare: number, isCounted: boolean): void => {
--- a/src/relay/endlessBytes.test.ts
+++ b/src/relay/endlessBytes.test.ts
@@ -3,6 +3,7 @@
 import { createRoute, createRoutingTable } from "../testing/createRoute";
 import {
     awaitUntil,
+    formatRequest,
     type RelayFleet,
     sendOkAnswer,
     sendToEntry,
@@ -62,6 +63,10 @@
 const isEachSocketClosed = (): boolean =>
     endlessSockets.length > 0 && endlessSockets.every(({ destroyed }) => destroyed);
 
+const formatChunkedHead = (id: string): string =>
+    `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+const chunk = "5\r\nhello\r\n";
+
 const cases: readonly (readonly [name: string, start: (requestId: string) => string, filler: string])[] = [
     ["bytes that are no HTTP", () => "", "\u0000\u0001\u0002\u0003"],
     ["a status line", () => "HTTP/1.1 200 ", "OK"],
@@ -69,18 +74,18 @@
     ["interim answers", () => "", "HTTP/1.1 100 Continue\r\n\r\n"],
     [
         "a chunk extension",
-        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n5;`,
+        id => `${formatChunkedHead(id)}5;`,
         "extension",
     ],
     [
         "trailers",
-        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n`,
+        id => `${formatChunkedHead(id)}0\r\n`,
         "x-filler: filler\r\n",
     ],
     [
         "chunks",
-        id => `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`,
-        "5\r\nhello\r\n",
+        formatChunkedHead,
+        chunk,
     ],
     [
         "a body without a length",
@@ -106,9 +111,7 @@
 
 describe("an answer that becomes too long to buffer only after the deadline", () => {
     it.each(["lookup", "booking"])("ends shortly after the deadline of a %s", async route => {
-        const start = (id: string): string =>
-            `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
-        await startFleet(writeEndlessly(start, "5\r\nhello\r\n", 5));
+        await startFleet(writeEndlessly(formatChunkedHead, chunk, 5));
         const startedAtMs = performance.now();
         const request = { path: `/${route}/endless`, method: route === "booking" ? "POST" : "GET", deadlineMs: 150 };
         expect((await sendToEntry(fleet.members[0]!, request)).status).toBe(504);
@@ -119,19 +122,15 @@
 
 describe("a caller that leaves in the middle of a long answer", () => {
     it.each(["lookup", "booking"])("ends the answer of a %s at the upstream", async route => {
-        const start = (id: string): string =>
-            `HTTP/1.1 200 OK\r\n${testHeaderNames.requestId}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
-        await startFleet(writeEndlessly(start, "5\r\nhello\r\n"));
+        await startFleet(writeEndlessly(formatChunkedHead, chunk));
         const { host, port } = fleet.members[0]!.settings.entry;
         const caller = connect(port, host);
-        caller.write([
-            `${route === "booking" ? "POST" : "GET"} /${route}/endless HTTP/1.1`,
-            "Host: desk.example",
-            `${testHeaderNames.requestId}: r-1`,
-            `${testHeaderNames.deadline}: 60000`,
-            "Content-Length: 0",
-            "\r\n",
-        ].join("\r\n"));
+        caller.write(formatRequest({
+            method: route === "booking" ? "POST" : "GET",
+            path: `/${route}/endless`,
+            deadlineMs: 60_000,
+            headers: { "Content-Length": "0" },
+        }));
         await new Promise(resolve => caller.once("data", resolve));
         caller.destroy();
         await awaitUntil(isEachSocketClosed);
--- a/src/relay/hop/test.ts
+++ b/src/relay/hop/test.ts
@@ -1,4 +1,5 @@
 import fc from "fast-check";
+import { createReport } from "../../testing/createReport";
 import { encodeHopAnswer, encodeHopRequest, type HopRequestFields, parseHopAnswer, parseHopRequest } from "./headers";
 
 const createFields = (overrides: Partial<HopRequestFields> = {}): HopRequestFields => ({
@@ -36,17 +37,17 @@
 });
 
 describe("the fields of an answer", () => {
-    const report = {
+    const report = createReport({
         congestion: 0.25,
         inFlight: 3,
         queued: 1,
         limit: 10,
         meanServiceMs: 12.5,
-        leaving: true,
         directShare: 0.5,
+        leaving: true,
         nestedCalls: 4,
         version: 7,
-    };
+    });
 
     it("are read as they were written", () => {
         const fields = { outcome: { kind: "not-run", reason: "full" }, report } as const;
--- a/src/relay/link/fuzz.test.ts
+++ b/src/relay/link/fuzz.test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { createReport } from "../../testing/createReport";
 import { type HopHandler, type HopRequest, type HopResult } from "../types";
 import { encodeFrame, type Frame, frameKinds, FrameReader } from "./frames";
 import { LinkClient } from "./linkClient";
@@ -9,17 +10,6 @@
 
 const host = "127.0.0.1";
 const hopFields = "900 gate i-1 i d f 2 500 lookup 7";
-const report = {
-    congestion: 0,
-    inFlight: 0,
-    queued: 0,
-    limit: 1,
-    meanServiceMs: 1,
-    leaving: false,
-    directShare: 1,
-    nestedCalls: 0,
-    version: 7,
-};
 const request: HopRequest = {
     requestId: "r-1",
     method: "GET",
@@ -95,12 +85,12 @@
         const server = await openLinkListener({ host, port: 0 }, {
             serve: (hopRequest, handler) => {
                 served.push(hopRequest);
-                handler.settle({ kind: "not-run", reason: "full" }, report);
+                handler.settle({ kind: "not-run", reason: "full" }, createReport());
                 return () => undefined;
             },
             computeDeadline: remainingMs => remainingMs,
             onVersionSeen: version => expect(version).toBeDefined(),
-            createStreamReport: () => report,
+            createStreamReport: () => createReport(),
         });
         await fc.assert(
             fc.asyncProperty(streamBytes, async bytes => {
--- a/src/relay/link/parseMessages.ts
+++ b/src/relay/link/parseMessages.ts
@@ -1,4 +1,5 @@
 /** Checks the fields of frames before they are used. Another node may run another version, or none of this program. */
+import { isMissing } from "../../_lib/isMissing";
 import { type AnswerHead } from "../../tasks/_lib/answerSink";
 import { type HopRequest } from "../types";
 
@@ -14,8 +15,6 @@
 const isHeaderList = (value: unknown): value is readonly string[] =>
     Array.isArray(value) && value.length % 2 === 0 && value.every(item => typeof item === "string");
 
-const isMissing = (value: unknown): value is undefined => value === undefined || typeof value === "object" && !value;
-
 /** Parses the fields of a request frame after the hop fields; returns undefined if one of them is invalid. */
 export const parseRequestMessage = (fields: readonly unknown[]): RequestMessage | undefined => {
     const [requestId, method, path, rawHeaders, body] = fields;
--- a/src/relay/plannedStop.test.ts
+++ b/src/relay/plannedStop.test.ts
@@ -6,6 +6,7 @@
 import {
     awaitUntil,
     type FleetMember,
+    formatRequest,
     type RelayFleet,
     sendOkAnswer,
     sendToEntry,
@@ -55,15 +56,6 @@
     await new Promise(resolve => setTimeout(resolve, 2 * member.settings.leaveAfterMs));
 };
 
-const createRequestText = (id: string, deadlineMs: number): string =>
-    [
-        "GET /lookup/1 HTTP/1.1",
-        "Host: desk.example",
-        `${testHeaderNames.requestId}: ${id}`,
-        `${testHeaderNames.deadline}: ${deadlineMs}`,
-        "\r\n",
-    ].join("\r\n");
-
 /** Sends requests in one write over one connection; returns all that comes back until the node closes it. */
 const sendPipelined = ({ settings }: FleetMember, deadlinesMs: readonly number[]): Promise<string> =>
     new Promise(resolve => {
@@ -72,7 +64,7 @@
         socket.on("data", chunk => chunks.push(chunk.toString("latin1")));
         socket.on("error", () => undefined);
         socket.once("close", () => resolve(chunks.join("")));
-        socket.write(deadlinesMs.map((deadlineMs, index) => createRequestText(`r-${index}`, deadlineMs)).join(""));
+        socket.write(deadlinesMs.map((deadlineMs, index) => formatRequest({ id: `r-${index}`, deadlineMs })).join(""));
     });
 
 const listStatuses = (text: string): readonly string[] =>
@@ -97,11 +89,11 @@
         const member = await startFleet(10);
         const { entry: { host, port } } = member.settings;
         const socket = connect(port, host);
-        socket.write(createRequestText("r-0", shortDeadlineMs));
+        socket.write(formatRequest({ id: "r-0", deadlineMs: shortDeadlineMs }));
         await once(socket, "data");
         stopped = member.node.stop();
         await awaitUntil(async () => (await sendToEntry(member)).status === 0);
-        socket.write(createRequestText("r-1", shortDeadlineMs));
+        socket.write(formatRequest({ id: "r-1", deadlineMs: shortDeadlineMs }));
         const [chunk] = await once(socket, "data") as Buffer[];
         expect(chunk!.toString("latin1")).toMatch(/^HTTP\/1\.1 503 [^]*connection: close/iu);
     });
--- a/src/relay/upstreamDirectory/manySenders.test.ts
+++ b/src/relay/upstreamDirectory/manySenders.test.ts
@@ -4,8 +4,8 @@
  */
 import { createRandom } from "../../_lib/createRandom";
 import { chooseUpstream } from "../../decisions/chooseUpstream";
+import { createReport } from "../../testing/createReport";
 import { createUpstreamRecord } from "../../testing/createRoute";
-import { type LoadReport } from "../types";
 import { UpstreamDirectory } from "./index";
 
 interface FakeUpstream {
@@ -33,18 +33,6 @@
 const meanServiceMs = 400;
 const limit = 40;
 
-const createReport = ({ inFlight, serviceMs }: FakeUpstream): LoadReport => ({
-    congestion: 0,
-    inFlight,
-    queued: 0,
-    limit,
-    meanServiceMs: serviceMs,
-    directShare: 1,
-    leaving: false,
-    nestedCalls: 0,
-    version: 1,
-});
-
 /** Plays a fleet in which each sender chooses by what it has learned from its own requests alone. */
 const runFleet = (options: FleetOptions): readonly FakeUpstream[] => {
     const { senders, requestsPerSecond, speeds, seconds, rejectedShares } = options;
@@ -88,7 +76,8 @@
                     upstream.served += isRejected ? 0 : 1;
                     upstream.rejected += isRejected ? 1 : 0;
                     directory.recordEnded(id);
-                    directory.recordReport(id, createReport(upstream));
+                    const { inFlight, serviceMs } = upstream;
+                    directory.recordReport(id, createReport({ inFlight, limit, meanServiceMs: serviceMs }));
                     directory.recordOutcome(id, isRejected);
                 },
             });
--- a/src/relay/upstreamDirectory/test.ts
+++ b/src/relay/upstreamDirectory/test.ts
@@ -1,21 +1,8 @@
 import { createRandom } from "../../_lib/createRandom";
+import { createReport } from "../../testing/createReport";
 import { createUpstreamRecord } from "../../testing/createRoute";
-import { type LoadReport } from "../types";
 import { UpstreamDirectory } from "./index";
 
-const createReport = (overrides: Partial<LoadReport> = {}): LoadReport => ({
-    congestion: 0,
-    inFlight: 0,
-    queued: 0,
-    limit: 9,
-    meanServiceMs: 20,
-    directShare: 1,
-    leaving: false,
-    nestedCalls: 0,
-    version: 1,
-    ...overrides,
-});
-
 const createDirectory = () => {
     const clock = { nowMs: 0 };
     const directory = new UpstreamDirectory("pvl-a", () => clock.nowMs);
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -195,6 +195,17 @@
     readonly headers?: Readonly<Record<string, string>>;
 }
 
+/** Formats a test request without a body as it is sent over a connection. */
+export const formatRequest = (options: TestRequest = {}): string =>
+    [
+        `${options.method ?? "GET"} ${options.path ?? "/lookup/1"} HTTP/1.1`,
+        "Host: desk.example",
+        `${testHeaderNames.requestId}: ${options.id ?? "r-1"}`,
+        `${testHeaderNames.deadline}: ${options.deadlineMs ?? 2_000}`,
+        ...Object.entries(options.headers ?? {}).map(([name, value]) => `${name}: ${value}`),
+        "\r\n",
+    ].join("\r\n");
+
 /** Sends a request to the entry of a member over a new connection; never rejects. */
 export const sendToEntry = (member: FleetMember, options: TestRequest = {}): Promise<TestAnswer> =>
     new Promise(resolve => {
