Tell in the log how a leaving upstream is known

Lines about what a node knows now have a limit of their own. upstreams-read says where the list comes from, its era and revision, which upstreams no longer take requests and which are kept without an entry; leaving-upstream-used names each request that still reaches an upstream known to leave. No decision changes.

--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -83,7 +83,7 @@
         }
         reading.unreadable.forEach(({ key, detail }) => this.listener.onUnreadable(key, detail));
         this.applyTable(reading.table, platformPlace);
-        const result = this.applyBatch(reading.batch);
+        const result = this.applyBatch(reading.batch, platformPlace);
         this.mustReadAll = result === "gap" || result === "outdated" && reading.batch.isFull;
         return result === "applied";
     }
@@ -95,7 +95,7 @@
             return true;
         }
         const { position: previous } = this.view;
-        const result = this.applyBatch(batch);
+        const result = this.applyBatch(batch, host);
         if (result !== "applied") {
             this.cursor = result === "gap" ? { viewId: "", serial: 0 } : this.cursor;
             return false;
@@ -126,7 +126,7 @@
         this.waiters.release();
     }
 
-    private applyBatch(batch: FleetBatch): ReturnType<FleetView["apply"]> {
+    private applyBatch(batch: FleetBatch, from: string): ReturnType<FleetView["apply"]> {
         const { position: previous, serial } = this.view;
         const result = this.view.apply(batch);
         const { position } = this.view;
@@ -134,7 +134,7 @@
             this.listener.onEra(position.era, position.revision);
         }
         if (!previous && position || this.view.serial !== serial) {
-            this.publishUpstreams();
+            this.publishUpstreams(from);
         }
         if (this.view.hasMissing && !this.isExpiryPending) {
             void this.expireMissing();
@@ -148,7 +148,7 @@
         while (this.view.hasMissing) {
             await awaitDelay(this.options.clock, expiryCheckMs);
             if (this.view.expireMissing()) {
-                this.publishUpstreams();
+                this.publishUpstreams(platformPlace);
             }
         }
         this.isExpiryPending = false;
@@ -161,10 +161,11 @@
         }
     }
 
-    private publishUpstreams(): void {
+    private publishUpstreams(place: string): void {
         const records = this.view.list();
+        const { position, missingIds: keptIds } = this.view;
         this.ranking.update(records);
-        this.listener.onUpstreams(records);
+        this.listener.onUpstreams(records, { place, position, keptIds });
         this.waiters.release();
     }
 
--- a/src/relay/fleet/fleetView.ts
+++ b/src/relay/fleet/fleetView.ts
@@ -55,6 +55,11 @@
         return this.removalTimes.size > 0;
     }
 
+    /** Upstreams that are missing from the store but still have time to renew their entries. */
+    get missingIds(): readonly string[] {
+        return [...this.removalTimes.keys()];
+    }
+
     list(): readonly UpstreamRecord[] {
         return [...this.records.values()];
     }
--- a/src/relay/fleet/types.ts
+++ b/src/relay/fleet/types.ts
@@ -12,6 +12,15 @@
     readonly gone: readonly GoneRecord[];
 }
 
+/** Where a list of upstreams comes from, for the log. */
+export interface ListOrigin {
+    /** A node's host, or "platform". */
+    readonly place: string;
+    readonly position: StorePosition | undefined;
+    /** Upstreams that are listed although the store no longer lists them, since they have time to renew their entries. */
+    readonly keptIds: readonly string[];
+}
+
 /** An entry of the store that can't be parsed; it names no upstream. */
 export interface UnreadableEntry {
     readonly key: string;
--- a/src/relay/ingress/index.ts
+++ b/src/relay/ingress/index.ts
@@ -16,6 +16,8 @@
     readonly createReport: (hopRequest: HopRequest, stats: HopStats) => LoadReport;
     /** Called with the routing version that the node at a host uses. */
     readonly onVersionSeen: (host: string, version: number) => void;
+    /** Returns for how long the upstream has been known to leave, in milliseconds; undefined if it isn't leaving. */
+    readonly readLeavingMs: () => number | undefined;
     /** Returns how long a request read now may have waited unread because of a process pause, in milliseconds. */
     readonly readStaleMs: () => number;
 }
@@ -51,10 +53,23 @@
             served.refuse("leaving");
             return () => undefined;
         }
+        this.writeLeaving(hopRequest);
         served.start();
         return () => served.cancel();
     }
 
+    /** Logs a request that still reaches a leaving upstream, since its sender doesn't know. */
+    private writeLeaving({ requestId, upstreamId }: HopRequest): void {
+        const leavingMs = this.dependencies.readLeavingMs();
+        if (leavingMs !== undefined) {
+            this.dependencies.log.write("leaving-upstream-used", {
+                request: requestId,
+                upstream: upstreamId,
+                leavingMs: Math.round(leavingMs),
+            });
+        }
+    }
+
     private writeFailedHop(hopRequest: HopRequest, result: HopResult): void {
         if (result.kind === "answered") {
             return;
--- a/src/relay/log/index.ts
+++ b/src/relay/log/index.ts
@@ -10,6 +10,32 @@
 
 /** Writes a log line for each event up to a limit per second; reports by event how many lines it omitted. */
 export class EventLog {
+    private readonly requestLines: LimitedLines;
+    private readonly stateLines: LimitedLines;
+
+    constructor(private readonly logger: Logger, readNowMs: () => number) {
+        this.requestLines = new LimitedLines(logger, readNowMs);
+        this.stateLines = new LimitedLines(logger, readNowMs);
+    }
+
+    /** Writes a line about a request, or counts it as omitted. */
+    write(event: string, fields: LogFields): void {
+        this.requestLines.write(event, fields);
+    }
+
+    /** Writes a line about what the node knows, or counts it as omitted. Lines about requests don't displace it. */
+    writeState(event: string, fields: LogFields): void {
+        this.stateLines.write(event, fields);
+    }
+
+    /** Writes a line regardless of the rate limit; for rare events of the node itself. */
+    writeAlways(event: string, fields: LogFields): void {
+        this.logger.info(fields, event);
+    }
+}
+
+/** Lines that share a limit per second. */
+class LimitedLines {
     private windowStartMs = 0;
     private windowLineCount = 0;
     private readonly omittedCounts = new Map<string, number>();
@@ -32,11 +58,6 @@
         this.logger.info(fields, event);
     }
 
-    /** Writes a line regardless of the rate limit; for rare events of the node itself. */
-    writeAlways(event: string, fields: LogFields): void {
-        this.logger.info(fields, event);
-    }
-
     private reportOmittedLines(): void {
         this.omittedCounts.forEach((count, event) => this.logger.info({ omitted: event, count }, "lines-omitted"));
         this.omittedCounts.clear();
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -7,10 +7,10 @@
 import { HttpCallRequest } from "../tasks/_lib/callRequest";
 import { type Clock, systemClock } from "../tasks/_lib/clock";
 import { TimerWheel } from "../tasks/_lib/timerWheel";
-import { type Address } from "../types";
 import { AnswerTimes } from "./_lib/answerTimes";
 import { createLoadReport } from "./_lib/createLoadReport";
 import { deriveControlAddress, deriveLinkAddress } from "./_lib/deriveAddresses";
+import { listControlAddresses } from "./_lib/listControlAddresses";
 import { RetryBudgets } from "./_lib/retryBudgets";
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
@@ -18,6 +18,7 @@
 import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
+import { type ListOrigin } from "./fleet/types";
 import { Ingress } from "./ingress";
 import { emptyHopStats, type HopStats } from "./ingress/servedHop";
 import { EventLog } from "./log";
@@ -34,6 +35,7 @@
 import { type HeaderNames, type HopRequest, type LoadReport, type RelaySettings } from "./types";
 import { UpstreamDirectory } from "./upstreamDirectory";
 import { UpstreamLeaving } from "./upstreamLeaving";
+import { createListOrigin, UpstreamListLog } from "./upstreamListLog";
 import { ViewSync } from "./viewSync";
 
 /** The node process that runs next to one upstream. */
@@ -42,6 +44,7 @@
     private readonly log: EventLog;
     private readonly routing: ActiveRouting;
     private readonly directory: UpstreamDirectory;
+    private readonly upstreamListLog: UpstreamListLog;
     private readonly shedding: Shedding;
     private readonly activeRequests: ActiveRequests;
     private readonly retryBudgets: RetryBudgets;
@@ -72,6 +75,7 @@
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings;
         this.wheel = new TimerWheel(clock, relayTimerTickMs);
         this.log = new EventLog(logger, readNowMs);
+        this.upstreamListLog = new UpstreamListLog(this.log);
         this.routing = new ActiveRouting(sampleRandom, (table, from) => this.reportAdoption(table, from));
         this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
         this.shedding = new Shedding(readNowMs);
@@ -89,7 +93,7 @@
         );
         this.poisonGuard = new PoisonGuard(settings.node, clock, {
             log: this.log,
-            listControlAddresses: () => this.listControlAddresses(this.settings.service),
+            listControlAddresses: () => listControlAddresses(this.directory.list(), this.settings),
         });
         this.viewSync = this.createViewSync();
         this.peers = this.createPeers();
@@ -124,14 +128,14 @@
         this.pauseGuard.start();
         this.source.start({
             onRouting: (table, from) => void this.routing.adopt(table, from),
-            onUpstreams: records => {
+            onUpstreams: (records, origin) => {
                 this.hasSourceRecords = true;
-                this.updateUpstreams(records);
+                this.updateUpstreams(records, origin);
             },
             onReachability: (isReachable, detail) =>
                 this.log.writeAlways(isReachable ? "platform-reached" : "platform-lost", { detail }),
-            onUnreadable: (key, detail) => this.log.write("entry-unreadable", { key, detail }),
-            onReadingFrom: (place, reason) => this.log.write("fleet-read-from", { place, reason }),
+            onUnreadable: (key, detail) => this.log.writeState("entry-unreadable", { key, detail }),
+            onReadingFrom: (place, reason) => this.log.writeState("fleet-read-from", { place, reason }),
             onEra: (era, revision) => this.log.writeAlways("platform-restored", { era, revision }),
             readTable: () => this.routing.table,
         });
@@ -147,7 +151,7 @@
             this.upstreamPool = new ConnectionPool(settings.upstream, { readNowMs: this.clock.readMonotonicMs });
         }
         this.log.writeAlways("settings-reloaded", { service: settings.service, upstreamMoved: isUpstreamMoved });
-        this.updateUpstreams(this.directory.list());
+        this.updateUpstreams(this.directory.list(), createListOrigin("settings"));
     }
 
     /** Stops the node. The upstream gets no new requests; callers are served until they leave or time runs out. */
@@ -182,7 +186,7 @@
                     this.routing.adopt(view.table, host);
                 }
                 if (!this.hasSourceRecords && view.upstreams.length > 0) {
-                    this.updateUpstreams(view.upstreams);
+                    this.updateUpstreams(view.upstreams, createListOrigin(host));
                     this.source.receivePeers(view.upstreams);
                 }
             },
@@ -225,6 +229,7 @@
             createReport: (hopRequest, stats) => this.createReport(hopRequest, stats),
             onVersionSeen: (host, version) => this.viewSync.observe(host, version),
             isLeaving: () => this.isLeaving(),
+            readLeavingMs: () => this.upstreamLeaving.readLeavingMs(),
         });
     }
 
@@ -270,30 +275,20 @@
         });
     }
 
-    private updateUpstreams(records: readonly UpstreamRecord[]): void {
+    private updateUpstreams(records: readonly UpstreamRecord[], origin: ListOrigin): void {
         this.directory.update(records);
         this.retryBudgets.updateNodeCount(new Set(records.map(({ host }) => host)).size);
         const { host, port } = this.settings.upstream;
         const ownRecord = this.directory.findByAddress(host, port);
         this.slots.updateSlots(ownRecord?.slots);
         this.upstreamLeaving.update(ownRecord?.state);
-        this.log.write("upstreams-read", {
-            total: records.length,
-            ready: records.filter(({ state }) => state === "ready").length,
-            ownId: ownRecord?.id,
-        });
+        this.upstreamListLog.write(records, origin, ownRecord?.id);
     }
 
     private isLeaving(): boolean {
         return this.stopping.hasBegun || this.upstreamLeaving.isToleranceOver();
     }
 
-    private listControlAddresses(service: string): readonly Address[] {
-        return this.directory.list()
-            .filter(record => record.service === service && record.host !== this.settings.host)
-            .map(({ host }) => ({ host, port: deriveControlAddress(this.settings.peers).port }));
-    }
-
     private reportAdoption(table: RoutingTable, from: string): void {
         this.log.writeAlways("routing-adopted", { version: table.version, routes: table.routes.length, source: from });
     }
--- a/src/relay/source.ts
+++ b/src/relay/source.ts
@@ -1,13 +1,13 @@
 /** Interface of a source of routing tables and upstream records. */
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
-import { type ChangesQuery, type FleetChanges } from "./fleet/types";
+import { type ChangesQuery, type FleetChanges, type ListOrigin } from "./fleet/types";
 
 /** Receives the tables and records that a source reads, and its errors. */
 export interface SourceListener {
     /** Called with a table and the host of the node that sent it, or "platform". */
     readonly onRouting: (table: RoutingTable, from: string) => void;
-    /** Called with all records whenever one has changed. */
-    readonly onUpstreams: (records: readonly UpstreamRecord[]) => void;
+    /** Called with all records whenever one has changed, and with the origin of the change. */
+    readonly onUpstreams: (records: readonly UpstreamRecord[], origin: ListOrigin) => void;
     /** Called when the source becomes reachable or unreachable; `detail` is for the log. */
     readonly onReachability: (isReachable: boolean, detail: string) => void;
     /** Called with the key of an entry that can't be parsed, and with the cause. */
--- a/src/relay/upstreamLeaving.ts
+++ b/src/relay/upstreamLeaving.ts
@@ -25,8 +25,13 @@
         this.leavingSinceMs ??= this.readNowMs();
     }
 
+    /** Returns for how long the upstream has been leaving, in milliseconds; undefined if it isn't. */
+    readLeavingMs(): number | undefined {
+        return this.leavingSinceMs === undefined ? undefined : this.readNowMs() - this.leavingSinceMs;
+    }
+
     /** Whether the upstream has been leaving for longer than the tolerance and must receive no new requests. */
     isToleranceOver(): boolean {
-        return this.leavingSinceMs !== undefined && this.readNowMs() - this.leavingSinceMs > toleranceMs;
+        return (this.readLeavingMs() ?? 0) > toleranceMs;
     }
 }
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -12,6 +12,7 @@
 import { RelayNode } from "../relay/node";
 import { type FleetSource, type SourceListener } from "../relay/source";
 import { type HeaderNames, type RelaySettings } from "../relay/types";
+import { createListOrigin } from "../relay/upstreamListLog";
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
 import { createUpstreamRecord } from "./createRoute";
 import { findFreePorts } from "./findFreePort";
@@ -55,7 +56,7 @@
             this.listener?.onRouting(table, "test");
         }
         if (upstreams) {
-            this.listener?.onUpstreams(upstreams);
+            this.listener?.onUpstreams(upstreams, createListOrigin("test"));
         }
     }
 }
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -102,6 +102,7 @@
                 createLoadReport(slotQueue, hopRequest, stats, { leaving: false, version: 1 }),
             onVersionSeen: () => undefined,
             isLeaving: () => false,
+            readLeavingMs: () => undefined,
         });
         this.entry = new Entry({
             ...sharedDependencies,
