Show that a removal is held back after an outage (failing test)

On a virtual clock 20 nodes, six of which the store turns away until the entries of their upstreams have lapsed and been written again; one of these upstreams then leaves. If it leaves 100 ms after it came back, four nodes still list it 2,000 ms later, two of which the store never turned away.

--- a/src/relay/fleet/fleetTracker.test.ts
+++ b/src/relay/fleet/fleetTracker.test.ts
@@ -105,6 +105,37 @@
     });
 });
 
+describe("a store that serves again the nodes that it turned away", () => {
+    /** Time after which an upstream that has left must get no new requests, in milliseconds. */
+    const drainMs = 2_000;
+    const turnedAway = [0, 1, 4, 5, 8, 9];
+
+    /** Turns some nodes away until their upstreams' entries have lapsed and been written again. */
+    const endOutage = async (): Promise<void> => {
+        const { store } = await startFleet(20);
+        const hosts = turnedAway.map(index => fleet.createRecord(index).host);
+        store.isTurnedAway = host => hosts.includes(host);
+        await fleet.runFor(4_600);
+        turnedAway.forEach(index => store.remove(`i-${index}`));
+        await fleet.runFor(8_000);
+        store.isTurnedAway = () => false;
+        turnedAway.forEach(index => store.write(fleet.createRecord(index, { sequence: 10 })));
+    };
+
+    // Guards against requests to an upstream whose removal is taken for a lapsed entry and held back.
+    it.each([0, 100, 500, 1_000, 2_000])(
+        "drops an upstream in time whose entry is removed %i ms after it was written again",
+        async afterMs => {
+            await endOutage();
+            await fleet.runFor(afterMs);
+            fleet.store.remove("i-4");
+            await fleet.runFor(drainMs);
+            expect(fleet.nodes.filter(node => listIds(node).includes("i-4")).map(({ host }) => host)).toEqual([]);
+            fleet.nodes.forEach(node => expect(listIds(node)).toHaveLength(19));
+        },
+    );
+});
+
 describe("a store that comes back from an older copy", () => {
     it("doesn't bring back an upstream that has left, also not on a node that starts then", async () => {
         const { nodes, store } = await startFleet(20);
