Send nothing to an upstream whose entry was removed after an outage

What callers saw: nothing; two bookings ran at an upstream 2.3 s after the store had acknowledged that it left, where 2 s are allowed, and would have been lost had it ended.

Cause: a node that reaches the store again keeps missing upstreams for 2.2 s, since their entries may only have lapsed. It kept them as ready, so it went on sending; it counted the time from its own first reading, up to seconds after other nodes had the store back; and it kept also those that had written their entries again and then left. The node beside the upstream counted its second of tolerance only from then on. Class of fault: a guess made for absence overrides evidence, and timers that add up.

Change: a kept upstream is 'missing'. It gets requests only if most of its service are missing, which an outage does and a leaving doesn't. The removal of an upstream that has written its entry since the outage is final. Nodes tell each other how much of the time is left, so that it ends everywhere as it does where the store's return was seen first. The last guard counts the time that the upstream was missing.

--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -28,6 +28,8 @@
     /** Whether everything has to be read from the store again. */
     mustReadAll = true;
     private isReachable: boolean | undefined;
+    /** Whether the store has failed and nobody has told this node since that it is back. */
+    private isOutageKnown = false;
     private isCurrent = false;
     private place = "";
     private isExpiryPending = false;
@@ -71,6 +73,7 @@
             batch: this.view.listChanges(query),
             table: table && table.version > query.version ? table : undefined,
             isCurrent: this.isCurrent,
+            renewalLeftMs: this.view.renewalLeftMs,
         };
     }
 
@@ -89,8 +92,13 @@
     }
 
     /** Applies the answer of another node; returns false if its view is older than this node's. */
-    applyChanges({ viewId, serial, batch, table }: FleetChanges, host: string): boolean {
+    applyChanges(changes: FleetChanges, host: string): boolean {
+        const { viewId, serial, batch, table } = changes;
         this.applyTable(table, host);
+        if (changes.isCurrent) {
+            this.isOutageKnown = false;
+            this.view.adoptRenewal(changes.renewalLeftMs ?? 0);
+        }
         if (!batch) {
             return true;
         }
@@ -163,9 +171,8 @@
 
     private publishUpstreams(place: string): void {
         const records = this.view.list();
-        const { position, missingIds: keptIds } = this.view;
         this.ranking.update(records);
-        this.listener.onUpstreams(records, { place, position, keptIds });
+        this.listener.onUpstreams(records, { place, position: this.view.position });
         this.waiters.release();
     }
 
@@ -181,9 +188,10 @@
 
     private reportReachability(reading: StoreReading): void {
         const isReachable = reading.kind !== "failed";
-        if (isReachable && this.isReachable === false) {
+        if (isReachable && this.isOutageKnown) {
             this.view.beginRenewal();
         }
+        this.isOutageKnown = !isReachable;
         if (isReachable !== this.isReachable) {
             this.isReachable = isReachable;
             this.listener.onReachability(isReachable, reading.kind === "failed" ? reading.detail : "");
--- a/src/relay/fleet/fleetView.test.ts
+++ b/src/relay/fleet/fleetView.test.ts
@@ -48,6 +48,63 @@
     });
 });
 
+describe("a view after an outage of the store", () => {
+    const createReturnedView = () => {
+        const context = createView();
+        const records = ["a", "b"].map(id => createUpstreamRecord({ id, sequence: 1 }));
+        context.view.apply(createBatch(1, 5, { isFull: true, records }));
+        context.view.beginRenewal();
+        return context;
+    };
+    const readStates = (view: FleetView): Readonly<Record<string, string>> =>
+        Object.fromEntries(view.list().map(({ id, state }) => [id, state]));
+
+    it("takes an upstream without an entry for missing until its time to renew it is over", () => {
+        const { clock, view } = createReturnedView();
+        view.apply(createBatch(1, 6, { removedIds: ["a"] }));
+        expect(readStates(view)).toEqual({ a: "missing", b: "ready" });
+        const [changes] = view.listChanges({ viewId: "v", serial: 2 })!.records;
+        expect(changes).toMatchObject({ id: "a", state: "missing" });
+        clock.nowMs += 3_000;
+        view.expireMissing();
+        expect(readStates(view)).toEqual({ b: "ready" });
+    });
+
+    // Guards against requests to an upstream that has written its entry again and then leaves.
+    it("removes at once an upstream that has written its entry since and whose entry is removed", () => {
+        const { view } = createReturnedView();
+        view.apply(createBatch(1, 6, { removedIds: ["a"] }));
+        view.apply(createBatch(1, 7, { records: [createUpstreamRecord({ id: "a", sequence: 2 })] }));
+        view.apply(createBatch(1, 8, { removedIds: ["a"] }));
+        expect(readStates(view)).toEqual({ b: "ready" });
+    });
+
+    it("doesn't take an entry from before the outage for a renewed one", () => {
+        const { view } = createReturnedView();
+        view.apply(createBatch(1, 6, { records: [createUpstreamRecord({ id: "a", sequence: 2 })] }));
+        view.apply(createBatch(1, 7, { removedIds: ["a"] }));
+        expect(readStates(view)).toEqual({ a: "missing", b: "ready" });
+    });
+
+    it("ends the time to renew entries when another node knows that it is over", () => {
+        const { view } = createReturnedView();
+        view.apply(createBatch(1, 6, { removedIds: ["a"] }));
+        view.adoptRenewal(0);
+        view.expireMissing();
+        view.apply(createBatch(1, 7, { removedIds: ["b"] }));
+        expect(readStates(view)).toEqual({});
+    });
+
+    it("forgets a missing upstream that another node has told it of", () => {
+        const { clock, view } = createView();
+        const missing = createUpstreamRecord({ id: "a", state: "missing" });
+        view.apply(createBatch(1, 5, { isFull: true, records: [missing] }));
+        clock.nowMs += 3_000;
+        view.expireMissing();
+        expect(readStates(view)).toEqual({});
+    });
+});
+
 /** A store with the upstreams that write to it. */
 class History {
     readonly alive = new Map<string, UpstreamRecord>();
--- a/src/relay/fleet/fleetView.ts
+++ b/src/relay/fleet/fleetView.ts
@@ -39,6 +39,10 @@
     /** Highest serial of a removed upstream that has been forgotten. */
     private forgottenSerial = 0;
     private renewalEndsAtMs = -Infinity;
+    /** Upstreams that have written their entries since the time to renew them began; their removal is final. */
+    private readonly renewedIds = new Set<string>();
+    /** Whether the next batch is the first since an outage, and may list entries from before it. */
+    private isNextBatchOld = false;
 
     constructor(private readonly id: string, private readonly readNowMs: () => number) {}
 
@@ -55,18 +59,26 @@
         return this.removalTimes.size > 0;
     }
 
-    /** Upstreams that are missing from the store but still have time to renew their entries. */
-    get missingIds(): readonly string[] {
-        return [...this.removalTimes.keys()];
-    }
-
     list(): readonly UpstreamRecord[] {
         return [...this.records.values()];
     }
 
+    /** Time in which missing upstreams are still kept, in milliseconds. */
+    get renewalLeftMs(): number {
+        return Math.max(0, this.renewalEndsAtMs - this.readNowMs());
+    }
+
     /** Begins the time in which missing upstreams are kept, since they may not have been able to renew their entries. */
     beginRenewal(): void {
         this.renewalEndsAtMs = this.readNowMs() + renewalGraceMs;
+        this.renewedIds.clear();
+        this.isNextBatchOld = true;
+    }
+
+    /** Takes over the time to renew entries from a node that knows better when the store has come back. */
+    adoptRenewal(leftMs: number): void {
+        this.renewalEndsAtMs = this.readNowMs() + Math.min(renewalGraceMs, leftMs);
+        this.removalTimes.forEach((atMs, id) => this.removalTimes.set(id, Math.min(atMs, this.renewalEndsAtMs)));
     }
 
     /** Applies a batch unless it is older than the view or doesn't follow on it. */
@@ -83,8 +95,15 @@
             this.beginRenewal();
         }
         this.currentPosition = batch.position;
+        const mayRenew = !this.isNextBatchOld && !batch.isFull;
+        this.isNextBatchOld = false;
         batch.gone.forEach(gone => this.recordGone(gone));
-        batch.records.forEach(record => this.applyRecord(record, batch.isFull));
+        batch.records.forEach(record => {
+            this.applyRecord(record, batch.isFull);
+            if (mayRenew) {
+                this.renewedIds.add(record.id);
+            }
+        });
         if (batch.isFull) {
             const listedIds = new Set(batch.records.map(({ id }) => id));
             [...this.records.keys()].filter(id => !listedIds.has(id)).forEach(id => this.removeMissing(id));
@@ -126,6 +145,9 @@
             return;
         }
         this.removalTimes.delete(id);
+        if (record.state === "missing") {
+            this.removalTimes.set(id, this.readNowMs() + renewalGraceMs);
+        }
         this.gone.delete(id);
         this.records.set(id, record);
         this.recordChange(id);
@@ -143,21 +165,30 @@
         return known !== undefined && isOutdatedRecord(record, known);
     }
 
-    /** Removes an upstream that is no longer listed, unless it still has time to renew its entry. */
+    /**
+     * Removes an upstream that is no longer listed, unless it still has time to renew its entry. Until then it is
+     * missing: whether its entry has lapsed or the upstream has left can't be told.
+     */
     private removeMissing(id: string): void {
-        if (!this.records.has(id)) {
+        const record = this.records.get(id);
+        if (!record) {
             return;
         }
-        if (this.readNowMs() >= this.renewalEndsAtMs) {
+        if (this.readNowMs() >= this.renewalEndsAtMs || this.renewedIds.has(id)) {
             this.remove(id);
             return;
         }
         this.removalTimes.set(id, this.renewalEndsAtMs);
+        if (record.state === "ready") {
+            this.records.set(id, { ...record, state: "missing" });
+            this.recordChange(id);
+        }
     }
 
     private remove(id: string): void {
         const { bornAtMs, sequence } = this.records.get(id)!;
         this.removalTimes.delete(id);
+        this.renewedIds.delete(id);
         this.records.delete(id);
         this.gone.set(id, { id, bornAtMs, sequence });
         this.recordChange(id);
--- a/src/relay/fleet/peerRanking.ts
+++ b/src/relay/fleet/peerRanking.ts
@@ -33,7 +33,7 @@
     update(records: readonly UpstreamRecord[]): void {
         const { failureDomain } = this.place;
         const hosts = records
-            .filter(record => record.failureDomain === failureDomain && record.state === "ready")
+            .filter(record => record.failureDomain === failureDomain && record.state !== "draining")
             .map(({ host }) => host);
         this.rankedHosts = computeWatcherRanking(failureDomain, hosts);
     }
--- a/src/relay/fleet/types.ts
+++ b/src/relay/fleet/types.ts
@@ -17,8 +17,6 @@
     /** A node's host, or "platform". */
     readonly place: string;
     readonly position: StorePosition | undefined;
-    /** Upstreams that are listed although the store no longer lists them, since they have time to renew their entries. */
-    readonly keptIds: readonly string[];
 }
 
 /** An entry of the store that can't be parsed; it names no upstream. */
@@ -69,6 +67,8 @@
     readonly table: RoutingTable | undefined;
     /** Whether the node watches the store and its last query succeeded. */
     readonly isCurrent: boolean;
+    /** Time that upstreams still have to renew their entries after an outage of the store, in milliseconds. */
+    readonly renewalLeftMs?: number;
 }
 
 /** Asks other nodes for changes; resolves to undefined if a node doesn't answer in time. */
--- a/src/relay/upstreamDirectory/index.ts
+++ b/src/relay/upstreamDirectory/index.ts
@@ -2,6 +2,7 @@
 import { type UpstreamCandidate } from "../../decisions/chooseUpstream";
 import { sampleIndexes } from "../../decisions/sampleIndexes";
 import { type UpstreamRecord } from "../../routing/types";
+import { listUsable } from "../_lib/listUsable";
 import { type LoadReport } from "../types";
 
 interface UpstreamObservation {
@@ -64,19 +65,7 @@
     update(records: readonly UpstreamRecord[]): void {
         this.byId = new Map(records.map(record => [record.id, record]));
         this.pools = new Map();
-        const bornAtMsByAddress = new Map<string, number>();
-        records.forEach(({ host, port, bornAtMs }) => {
-            const address = `${host}:${port}`;
-            bornAtMsByAddress.set(address, Math.max(bornAtMs, bornAtMsByAddress.get(address) ?? -Infinity));
-        });
-        // The record of an upstream that has ended without notice is listed until it expires.
-        const isAddressTaken = ({ host, port, bornAtMs }: UpstreamRecord): boolean =>
-            bornAtMsByAddress.get(`${host}:${port}`)! > bornAtMs;
-        records.filter(record => record.state === "ready" && !isAddressTaken(record)).forEach(record => {
-            const pool = this.pools.get(record.service) ?? { local: [], remote: [] };
-            (record.failureDomain === this.failureDomain ? pool.local : pool.remote).push(record);
-            this.pools.set(record.service, pool);
-        });
+        listUsable(records).forEach(record => this.addToPool(record));
         [...this.observations].forEach(([id, { outstandingRequests }]) => {
             if (outstandingRequests === 0 && !this.byId.has(id)) {
                 this.observations.delete(id);
@@ -182,6 +171,12 @@
         this.getObservation(id).outlierUntilMs = this.readNowMs() + maxOutlierMs;
     }
 
+    private addToPool(record: UpstreamRecord): void {
+        const pool = this.pools.get(record.service) ?? { local: [], remote: [] };
+        (record.failureDomain === this.failureDomain ? pool.local : pool.remote).push(record);
+        this.pools.set(record.service, pool);
+    }
+
     private isLeaving(id: string, nowMs: number): boolean {
         return (this.observations.get(id)?.leavingUntilMs ?? 0) > nowMs;
     }
--- a/src/relay/upstreamLeaving.ts
+++ b/src/relay/upstreamLeaving.ts
@@ -11,6 +11,7 @@
 /** Records since when the local upstream has been draining or missing from the upstream list. */
 export class UpstreamLeaving {
     private wasListed = false;
+    private missingSinceMs: number | undefined;
     private leavingSinceMs: number | undefined;
 
     constructor(private readonly readNowMs: () => number) {}
@@ -19,10 +20,13 @@
     update(state: UpstreamState | undefined): void {
         this.wasListed ||= state !== undefined;
         if (state === "ready" || !this.wasListed) {
+            this.missingSinceMs = undefined;
             this.leavingSinceMs = undefined;
             return;
         }
-        this.leavingSinceMs ??= this.readNowMs();
+        this.missingSinceMs ??= this.readNowMs();
+        // A missing upstream may only have lapsed; once it is known to have left, the time that it was missing counts.
+        this.leavingSinceMs ??= state === "missing" ? undefined : this.missingSinceMs;
     }
 
     /** Returns for how long the upstream has been leaving, in milliseconds; undefined if it isn't. */
--- a/src/relay/upstreamListLog.test.ts
+++ b/src/relay/upstreamListLog.test.ts
@@ -10,27 +10,31 @@
     return { log, listLog: new UpstreamListLog(log), readLine };
 };
 
-const createOrigin = (keptIds: readonly string[] = []) => ({
-    place: "10.0.0.9",
-    position: { era: 2, revision: 71 },
-    keptIds,
-});
+const origin = { place: "10.0.0.9", position: { era: 2, revision: 71 } };
 
 describe("UpstreamListLog", () => {
     it("says which upstreams no longer take requests, which are kept, and where the list comes from", () => {
         const { listLog, readLine } = createListLog();
         const records = ["a", "b", "c"].map(id => createUpstreamRecord({ id }));
-        listLog.write(records, createOrigin(), "a");
+        listLog.write(records, origin, "a");
         expect(readLine()).toMatchObject({ total: 3, ready: 3, ownId: "a", place: "10.0.0.9", era: 2, revision: 71 });
         expect(readLine()).not.toHaveProperty("left");
-        listLog.write([records[0]!, createUpstreamRecord({ id: "b", state: "draining" })], createOrigin(["a"]), "a");
-        expect(readLine()).toMatchObject({ total: 2, ready: 1, left: "b,c", kept: "a" });
+        listLog.write(
+            [
+                records[0]!,
+                createUpstreamRecord({ id: "b", state: "draining" }),
+                createUpstreamRecord({ id: "c", state: "missing" }),
+            ],
+            origin,
+            "a",
+        );
+        expect(readLine()).toMatchObject({ total: 3, ready: 1, left: "b,c", kept: "c" });
     });
 
     it("is not displaced by lines about requests", () => {
         const { log, listLog, readLine } = createListLog();
         Array.from({ length: 100 }, () => log.write("request-refused", {}));
-        listLog.write([createUpstreamRecord({ id: "a" })], createOrigin(), undefined);
+        listLog.write([createUpstreamRecord({ id: "a" })], origin, undefined);
         expect(readLine()).toMatchObject({ total: 1 });
     });
 });
--- a/src/relay/upstreamListLog.ts
+++ b/src/relay/upstreamListLog.ts
@@ -1,5 +1,5 @@
 /** Writes what changes in a node's list of upstreams. */
-import { type UpstreamRecord } from "../routing/types";
+import { type UpstreamRecord, type UpstreamState } from "../routing/types";
 import { type ListOrigin } from "./fleet/types";
 import { type EventLog } from "./log";
 
@@ -15,10 +15,12 @@
     /** Writes the line for a list; `ownId` is the id of the local upstream in it. */
     write(
         records: readonly UpstreamRecord[],
-        { place, position, keptIds }: ListOrigin,
+        { place, position }: ListOrigin,
         ownId: string | undefined,
     ): void {
-        const readyIds = new Set(records.filter(({ state }) => state === "ready").map(({ id }) => id));
+        const listIds = (wanted: UpstreamState): readonly string[] =>
+            records.filter(({ state }) => state === wanted).map(({ id }) => id);
+        const readyIds = new Set(listIds("ready"));
         const left = [...this.readyIds].filter(id => !readyIds.has(id));
         this.readyIds = readyIds;
         this.log.writeState("upstreams-read", {
@@ -29,13 +31,13 @@
             era: position?.era,
             revision: position?.revision,
             left: formatIds(left),
-            kept: formatIds(keptIds),
+            kept: formatIds(listIds("missing")),
         });
     }
 }
 
 /** Creates the origin of a list that wasn't read from the store. */
-export const createListOrigin = (place: string): ListOrigin => ({ place, position: undefined, keptIds: [] });
+export const createListOrigin = (place: string): ListOrigin => ({ place, position: undefined });
 
 const formatIds = (ids: readonly string[]): string | undefined =>
     ids.length === 0 ? undefined : ids.slice(0, maxLoggedIds).join(",") + (ids.length > maxLoggedIds ? ",..." : "");
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -43,8 +43,11 @@
     readonly limits: RequestLimits;
 }
 
-/** Readiness of an upstream for requests, as the upstream itself reports it. */
-export type UpstreamState = "ready" | "draining";
+/**
+ * Readiness of an upstream for requests: as the upstream itself reports it, or `missing` if its entry is gone after an
+ * outage of the store and may still be written again.
+ */
+export type UpstreamState = "ready" | "draining" | "missing";
 
 /** A registered upstream. */
 export interface UpstreamRecord {
