--- a/src/relay/overload.test.ts
+++ b/src/relay/overload.test.ts
@@ -11,8 +11,12 @@
 /** Runs a load once per seed. Returns a function that computes the share of a route's requests with an outcome. */
 const runSeeds = (run: (seed: number) => VirtualRelayCallers) => {
     const runs = seeds.map(run);
-    return (route: Route, outcome: Exclude<keyof RequestCounts, "sent">): number => {
-        const counts = runs.map(callers => callers.count(route, fromSecond, toSecond));
+    return (
+        route: Route,
+        outcome: Exclude<keyof RequestCounts, "sent">,
+        [from, to]: readonly [number, number] = [fromSecond, toSecond],
+    ): number => {
+        const counts = runs.map(callers => callers.count(route, from, to));
         const sum = (key: keyof RequestCounts): number => counts.reduce((total, count) => total + count[key], 0);
         return sum(outcome) / sum("sent");
     };
@@ -73,3 +77,23 @@
         expect(computeShare(fanOutRoutes.fetch, "failed")).toBeLessThan(0.2);
     });
 });
+
+describe("a surge on routes with many sequential nested calls and a short timeout", () => {
+    /** Share of each class that the users expect to be served on their days of high load. */
+    const classFloor = 0.15;
+
+    // Guards against admitting many trees of nested calls of which nearly all miss their deadline.
+    it("serves the floor of the less important route with the most nested calls, and nearly all important ones", () => {
+        const computeShare = runSeeds(seed => {
+            const { clock, callers } = createFanOutLoad(
+                seed,
+                atMs => atMs < 20_000 ? 1.9 : 0.9,
+                { fetchMs: 1_200, sweepMs: 1_500 },
+            );
+            clock.runUntil(endMs);
+            return callers;
+        });
+        expect(computeShare(fanOutRoutes.fetch, "inTarget", [4, 20])).toBeGreaterThan(classFloor);
+        expect(computeShare(fanOutRoutes.sweep, "inTarget", [4, 20])).toBeGreaterThan(0.95);
+    });
+});
--- a/src/testing/createFanOutLoad.ts
+++ b/src/testing/createFanOutLoad.ts
@@ -57,15 +57,30 @@
     wave: { meanWorkMs: 55, nestedCalls: [] },
 };
 
-const classes: readonly RequestClass[] = [
-    { route: fetch, ratePerSecond: 18, deadlineMs: 6_000 },
-    { route: sweep, ratePerSecond: 10, deadlineMs: 6_000 },
+const createClasses = (routes: Pick<typeof fanOutRoutes, "fetch" | "sweep">): readonly RequestClass[] => [
+    { route: routes.fetch, ratePerSecond: 18, deadlineMs: 6_000 },
+    { route: routes.sweep, ratePerSecond: 10, deadlineMs: 6_000 },
     { route: model, ratePerSecond: 9.5, deadlineMs: 6_000 },
     { route: signoff, ratePerSecond: 2.3, deadlineMs: 2_000 },
 ];
 
-const options = { services, routes: Object.values(fanOutRoutes), work, classes };
+/** Timeouts of the routes that callers use, in milliseconds. */
+export interface FanOutTimeouts {
+    readonly fetchMs: number;
+    readonly sweepMs: number;
+}
 
 /** Creates the fan-out graph with running callers, as `createVirtualLoad` does. */
-export const createFanOutLoad = (seed: number, computeRateFactor: (atMs: number) => number) =>
-    createVirtualLoad(options, seed, computeRateFactor);
+export const createFanOutLoad = (
+    seed: number,
+    computeRateFactor: (atMs: number) => number,
+    { fetchMs, sweepMs }: FanOutTimeouts = { fetchMs: fetch.timeoutMs, sweepMs: sweep.timeoutMs },
+) => {
+    const routes = {
+        ...fanOutRoutes,
+        fetch: { ...fetch, timeoutMs: fetchMs },
+        sweep: { ...sweep, timeoutMs: sweepMs },
+    };
+    const options = { services, routes: Object.values(routes), work, classes: createClasses(routes) };
+    return createVirtualLoad(options, seed, computeRateFactor);
+};
