Do not take silence for free capacity while shedding

What callers saw: in a surge nearly all admitted netlist-fetch ended at their timeout after most of their work had run; others were refused meanwhile.

Cause: an entry that gets no answers of a route for a second raises its admission probability by ten windows, 0.6. An entry that sheds 90% of a few requests a second gets no answers for that reason alone. Class of fault: absence of news taken for good news; the same as a kept entry taken for a ready upstream.

The new test of Shedding fails without the change.

--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -6,6 +6,11 @@
 const updateWindowMs = 100;
 /** Time without answers, thus with unknown congestion, after which an admission probability grows, in milliseconds. */
 const idleWindowMs = 1_000;
+/**
+ * Number of update windows by which an admission probability grows after that time. It is small, since an entry that sheds
+ * nearly all of a few requests gets no answers for that reason alone.
+ */
+const idleGrowthWindows = 3;
 /** Maximum number of update windows that one update covers; after reported congestion, at most one per answer. */
 const maxWindowsPerUpdate = 10;
 /** Weight of one report in the moving mean of the congestion of a route's nested requests. */
@@ -117,7 +122,7 @@
         }
         const { answers, congestionSum } = admission;
         const elapsedWindows = Math.min(maxWindowsPerUpdate, elapsedMs / updateWindowMs);
-        const windows = congestionSum > 0 ? Math.min(elapsedWindows, answers) : elapsedWindows;
+        const windows = computeUpdateWindows(elapsedWindows, admission);
         admission.probability = updateAdmissionByCongestion(admission.probability, {
             answers,
             congestionSum,
@@ -129,3 +134,10 @@
         return admission;
     }
 }
+
+const computeUpdateWindows = (elapsedWindows: number, { answers, congestionSum }: RouteAdmission): number => {
+    if (answers === 0) {
+        return Math.min(elapsedWindows, idleGrowthWindows);
+    }
+    return congestionSum > 0 ? Math.min(elapsedWindows, answers) : elapsedWindows;
+};
--- a/src/relay/shedding/test.ts
+++ b/src/relay/shedding/test.ts
@@ -51,6 +51,29 @@
     });
 });
 
+describe("Shedding without answers", () => {
+    // Guards against an entry that sheds nearly all of a few requests and takes the silence for free capacity.
+    it("does not admit most requests again after a second of silence", () => {
+        const { clock, shedding } = createShedding();
+        measureAdmittedShare(shedding, clock, 6, 1);
+        [100, 1_000].forEach(pauseMs => {
+            clock.nowMs += pauseMs;
+            shedding.tryAdmit("route", 2, `after ${pauseMs}`);
+        });
+        expect(shedding.readAdmissionProbability("route")).toBeLessThan(0.5);
+    });
+
+    it("admits all requests again after some seconds of silence", () => {
+        const { clock, shedding } = createShedding();
+        measureAdmittedShare(shedding, clock, 6, 1);
+        for (let second = 0; second < 6; second += 1) {
+            clock.nowMs += 1_000;
+            shedding.tryAdmit("route", 2, `late ${second}`);
+        }
+        expect(shedding.readAdmissionProbability("route")).toBe(1);
+    });
+});
+
 describe("Shedding with returning callers", () => {
     it("admits returning requests before new ones", () => {
         const { clock, shedding } = createShedding();
