Finish nearly complete trees of nested calls before beginning others

What callers saw: in a surge the requests with the most nested calls (netlist-fetch, ten reads of the shortest service) nearly all ended at their timeout, after most of their reads had run.

Cause: the queue of the short service orders nested calls by due time and by the rank at the root alone. All admitted trees advance alike, each read waits behind the first reads of younger trees, and all miss their deadline. Class of fault: scheduling single calls where only whole trees count.

Change: a nested call's rank is its parent's divided by one more than its succeeded siblings. It travels in the field that carries the rank, so that nodes of either build understand each other; rank 0 stays ahead of all.

--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -1,4 +1,5 @@
 /** Handles one request at the entry, from its arrival to its answer. */
+import { computeNestedRank } from "../../decisions/computeNestedRank";
 import { type Route } from "../../routing/types";
 import { type AnswerHead, type AnswerSink, StartedSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
@@ -158,7 +159,7 @@
             callerService: readService(),
             idempotent: route.idempotent,
             nested: parent !== undefined,
-            rank: parent?.rank ?? route.rank,
+            rank: parent ? computeNestedRank(parent.rank, parent.succeededNestedCalls) : route.rank,
             targetLatencyMs: route.targetLatencyMs,
             deadlineAtMs: this.deadlineAtMs,
         };
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -68,7 +68,7 @@
     readonly nested: boolean;
     /** Whether the request or one of its ancestors has been sent to an upstream before. */
     readonly isRetry: boolean;
-    /** Rank of the caller's request at the root of the call graph; 0 is the most important. */
+    /** Rank of the caller's request at the root of the call graph, less for nearly complete trees; 0 goes first. */
     readonly rank: number;
     readonly targetLatencyMs: number;
     /** Monotonic time after which the sender no longer waits for the answer, in milliseconds. */
