Log the limits and leavings that upstreams name in their answers

The node beside an upstream reads the two headers of its answers now and logs each change, and a limit that it can't read.

--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -23,6 +23,8 @@
     readonly onConnectionLost: (hopRequest: HopRequest, wasSent: boolean) => void;
     /** Called when a connection to the upstream has carried the answer to another request. */
     readonly onForeignAnswer: () => void;
+    /** Called with the headers of each answer of the upstream. */
+    readonly onAnswerHead: (rawHeaders: readonly string[]) => void;
     /** Called when the upstream has answered the request completely. */
     readonly onAnswered: (hopRequest: HopRequest) => void;
     readonly activeRequests: ActiveRequests;
@@ -164,6 +166,7 @@
             return undefined;
         }
         this.head = { status: head.status, rawHeaders: stripHeaders(head.rawHeaders, noHeaders) };
+        this.dependencies.onAnswerHead(this.head.rawHeaders);
         this.buffer.start(this.head);
         return this.buffer;
     }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -14,6 +14,7 @@
 import { RetryBudgets } from "./_lib/retryBudgets";
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
+import { AnnouncementReader } from "./announcements";
 import { awaitDrained } from "./awaitDrained";
 import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
@@ -43,6 +44,7 @@
     private readonly wheel: TimerWheel;
     private readonly log: EventLog;
     private readonly routing: ActiveRouting;
+    private readonly announcements: AnnouncementReader;
     private readonly directory: UpstreamDirectory;
     private readonly upstreamListLog: UpstreamListLog;
     private readonly shedding: Shedding;
@@ -75,6 +77,7 @@
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings;
         this.wheel = new TimerWheel(clock, relayTimerTickMs);
         this.log = new EventLog(logger, readNowMs);
+        this.announcements = new AnnouncementReader(headerNames, this.log);
         this.upstreamListLog = new UpstreamListLog(this.log);
         this.routing = new ActiveRouting(sampleRandom, (table, from) => this.reportAdoption(table, from));
         this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
@@ -221,6 +224,7 @@
             readStaleMs: () => this.pauseGuard.readStaleMs(),
             isQuarantined: hopRequest => this.poisonGuard.isQuarantined(hopRequest),
             onConnectionLost: (hopRequest, wasSent) => this.poisonGuard.recordConnectionLoss(hopRequest, wasSent),
+            onAnswerHead: rawHeaders => this.announcements.read(rawHeaders),
             onForeignAnswer: () => this.upstreamPool.recordForeignAnswer(),
             onAnswered: hopRequest => this.poisonGuard.recordAnswer(hopRequest),
             activeRequests: this.activeRequests,
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -16,6 +16,10 @@
     readonly target: string;
     /** Present on answers to requests that the upstream did not run. */
     readonly notRun: string;
+    /** On answers of an upstream: the requests a second that it takes from all nodes together, for as long as it says so. */
+    readonly rateLimit: string;
+    /** Present on answers of an upstream that is leaving. */
+    readonly upstreamLeaving: string;
     /** Separates the id of a request from the suffix that an upstream appends for each nested call. */
     readonly callSeparator: string;
 }
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -24,6 +24,8 @@
     callerService: "x-origin-service",
     target: "x-target",
     notRun: "x-not-run",
+    rateLimit: "x-rate-limit",
+    upstreamLeaving: "x-leaving",
     callSeparator: ".",
 };
 
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -95,6 +95,7 @@
             wheel,
             isQuarantined: () => false,
             onConnectionLost: () => undefined,
+            onAnswerHead: () => undefined,
             onForeignAnswer: () => undefined,
             onAnswered: () => undefined,
             readMaxBodyBytes: () => Infinity,
--- a/src/testing/virtualRelayUpstream.ts
+++ b/src/testing/virtualRelayUpstream.ts
@@ -60,6 +60,9 @@
     private runningCount = 0;
     private workFactor = 1;
     private rejectedShare = 0;
+    private namedHeaders: readonly string[] = [];
+    /** Times at which requests arrived, in milliseconds. */
+    readonly arrivalTimes: number[] = [];
 
     constructor(private readonly clock: VirtualClock, private readonly options: VirtualRelayUpstreamOptions) {}
 
@@ -73,10 +76,19 @@
         this.rejectedShare = share;
     }
 
+    /** Adds headers to all answers, such as a rate limit. */
+    updateNamedHeaders(rawHeaders: readonly string[]): void {
+        this.namedHeaders = rawHeaders;
+    }
+
     /** Handles a request from its node. */
     handle(request: FakeCallRequest): void {
+        this.arrivalTimes.push(this.clock.readMonotonicMs());
         if (this.rejectedShare > 0 && this.options.sampleRandom() < this.rejectedShare) {
-            request.sink.start({ status: unavailableStatus, rawHeaders: [testHeaderNames.notRun, "1"] });
+            request.sink.start({
+                status: unavailableStatus,
+                rawHeaders: [testHeaderNames.notRun, "1", ...this.namedHeaders],
+            });
             request.sink.end();
             return;
         }
@@ -149,7 +161,7 @@
         if (status === undefined) {
             return;
         }
-        run.request.sink.start({ status, rawHeaders: [testHeaderNames.requestId, run.id] });
+        run.request.sink.start({ status, rawHeaders: [testHeaderNames.requestId, run.id, ...this.namedHeaders] });
         run.request.sink.end();
     }
 }
