Keep the limit of requests a second that an upstream names

Cause: no module read the limit; the slots in the store were the only bound of a node. Class of fault: a bound that the other side states is not part of the capacity model.

Change: the node beside the upstream, which all its requests pass, holds a token bucket at the named rate (decisions/tokenBucket, pure). Requests wait for tokens in the queue of the slots, important ones first, and are refused as not run when the wait is too long, so that senders choose others. The rate counts as capacity: in the expected wait, in the congestion that answers report, and as reported slots for the choice of other nodes. Ruled out: a share for each sender, which needs agreement on who sends.

--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -14,7 +14,6 @@
 import { RetryBudgets } from "./_lib/retryBudgets";
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
-import { AnnouncementReader } from "./announcements";
 import { awaitDrained } from "./awaitDrained";
 import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
@@ -22,6 +21,7 @@
 import { type ListOrigin } from "./fleet/types";
 import { Ingress } from "./ingress";
 import { emptyHopStats, type HopStats } from "./ingress/servedHop";
+import { LocalUpstream } from "./localUpstream";
 import { EventLog } from "./log";
 import { RelayMetrics } from "./metrics";
 import { PauseGuard } from "./pauseGuard";
@@ -35,7 +35,6 @@
 import { Stopping } from "./stopping";
 import { type HeaderNames, type HopRequest, type LoadReport, type RelaySettings } from "./types";
 import { UpstreamDirectory } from "./upstreamDirectory";
-import { UpstreamLeaving } from "./upstreamLeaving";
 import { createListOrigin, UpstreamListLog } from "./upstreamListLog";
 import { ViewSync } from "./viewSync";
 
@@ -44,7 +43,6 @@
     private readonly wheel: TimerWheel;
     private readonly log: EventLog;
     private readonly routing: ActiveRouting;
-    private readonly announcements: AnnouncementReader;
     private readonly directory: UpstreamDirectory;
     private readonly upstreamListLog: UpstreamListLog;
     private readonly shedding: Shedding;
@@ -60,7 +58,7 @@
     private readonly pauseGuard: PauseGuard;
     private upstreamPool: ConnectionPool;
     private listeners: RelayListeners | undefined;
-    private readonly upstreamLeaving: UpstreamLeaving;
+    private readonly localUpstream: LocalUpstream;
     private hasSourceRecords = false;
     private readonly stopping: Stopping;
     private lastEntryAtMs = 0;
@@ -77,16 +75,15 @@
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings;
         this.wheel = new TimerWheel(clock, relayTimerTickMs);
         this.log = new EventLog(logger, readNowMs);
-        this.announcements = new AnnouncementReader(headerNames, this.log);
         this.upstreamListLog = new UpstreamListLog(this.log);
         this.routing = new ActiveRouting(sampleRandom, (table, from) => this.reportAdoption(table, from));
         this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
         this.shedding = new Shedding(readNowMs);
         this.activeRequests = new ActiveRequests(headerNames.callSeparator);
         this.retryBudgets = new RetryBudgets({ ratio, slack, windowMs }, readNowMs);
-        this.upstreamLeaving = new UpstreamLeaving(readNowMs);
         this.stopping = new Stopping(() => this.settings, readNowMs);
         this.slots = new SlotQueue(this.wheel, readNowMs);
+        this.localUpstream = new LocalUpstream({ headerNames, slots: this.slots, log: this.log, readNowMs });
         this.upstreamPool = new ConnectionPool(settings.upstream, { readNowMs });
         const readRoutingStats = () => ({ version: this.routing.version, upstreams: this.directory.list().length });
         this.metrics = new RelayMetrics(() => ({ ...this.slots.readStats(), ...readRoutingStats() }));
@@ -224,7 +221,7 @@
             readStaleMs: () => this.pauseGuard.readStaleMs(),
             isQuarantined: hopRequest => this.poisonGuard.isQuarantined(hopRequest),
             onConnectionLost: (hopRequest, wasSent) => this.poisonGuard.recordConnectionLoss(hopRequest, wasSent),
-            onAnswerHead: rawHeaders => this.announcements.read(rawHeaders),
+            onAnswerHead: rawHeaders => this.localUpstream.observeAnswer(rawHeaders),
             onForeignAnswer: () => this.upstreamPool.recordForeignAnswer(),
             onAnswered: hopRequest => this.poisonGuard.recordAnswer(hopRequest),
             activeRequests: this.activeRequests,
@@ -233,7 +230,7 @@
             createReport: (hopRequest, stats) => this.createReport(hopRequest, stats),
             onVersionSeen: (host, version) => this.viewSync.observe(host, version),
             isLeaving: () => this.isLeaving(),
-            readLeavingMs: () => this.upstreamLeaving.readLeavingMs(),
+            readLeavingMs: () => this.localUpstream.leaving.readLeavingMs(),
         });
     }
 
@@ -284,13 +281,12 @@
         this.retryBudgets.updateNodeCount(new Set(records.map(({ host }) => host)).size);
         const { host, port } = this.settings.upstream;
         const ownRecord = this.directory.findByAddress(host, port);
-        this.slots.updateSlots(ownRecord?.slots);
-        this.upstreamLeaving.update(ownRecord?.state);
+        this.localUpstream.update(ownRecord);
         this.upstreamListLog.write(records, origin, ownRecord?.id);
     }
 
     private isLeaving(): boolean {
-        return this.stopping.hasBegun || this.upstreamLeaving.isToleranceOver();
+        return this.stopping.hasBegun || this.localUpstream.leaving.isToleranceOver();
     }
 
     private reportAdoption(table: RoutingTable, from: string): void {
--- a/src/relay/slotQueue/index.ts
+++ b/src/relay/slotQueue/index.ts
@@ -1,7 +1,15 @@
 /** Limits the number of requests that the local upstream serves concurrently, and queues further ones. */
+import { msPerSecond } from "../../constants";
 import { computeCongestion } from "../../decisions/computeCongestion";
 import { computeDueDelay, type DueDelayInput } from "../../decisions/computeDueDelay";
 import { computeMaxSlotWait, computeSlotWait } from "../../decisions/computeSlotWait";
+import {
+    computeTokenWaitMs,
+    createTokenBucket,
+    takeToken,
+    type TokenBucket,
+    updateTokenRate,
+} from "../../decisions/tokenBucket";
 import { type Timeout, type TimerWheel } from "../../tasks/_lib/timerWheel";
 
 /** A request that needs a slot. */
@@ -36,7 +44,7 @@
 export interface SlotStats {
     readonly inFlight: number;
     readonly queued: number;
-    /** Concurrency limit, in slots. */
+    /** Concurrency limit, in slots; with a rate limit, the number of slots that it keeps in use. */
     readonly limit: number;
     /** Moving mean of the service times of answered requests, in milliseconds; 0 before the first one. */
     readonly meanServiceMs: number;
@@ -70,6 +78,10 @@
     private overdueCount = 0;
     private meanServiceMs = 0;
     private directShare = 1;
+    private ratePerSecond: number | undefined;
+    /** Tokens of the upstream's rate limit; undefined without one. */
+    private tokens: TokenBucket | undefined;
+    private tokenTimeout: Timeout | undefined;
 
     constructor(private readonly wheel: TimerWheel, private readonly readNowMs: () => number) {}
 
@@ -82,8 +94,29 @@
         this.runQueued();
     }
 
+    /** Limits the requests that the upstream gets in a second; undefined ends the limit. */
+    updateRate(ratePerSecond: number | undefined): void {
+        if (ratePerSecond === this.ratePerSecond) {
+            return;
+        }
+        const nowMs = this.readNowMs();
+        this.ratePerSecond = ratePerSecond;
+        if (ratePerSecond === undefined) {
+            this.tokens = undefined;
+        }
+        else {
+            this.tokens = this.tokens
+                ? updateTokenRate(this.tokens, ratePerSecond, nowMs)
+                : createTokenBucket(ratePerSecond, nowMs);
+        }
+        this.runQueued();
+    }
+
     readStats(): SlotStats {
-        const { inFlight, limit, meanServiceMs, directShare } = this;
+        const { inFlight, meanServiceMs, directShare, ratePerSecond } = this;
+        const limit = ratePerSecond === undefined
+            ? this.limit
+            : Math.min(this.limit, Math.max(1, Math.floor(ratePerSecond * meanServiceMs / msPerSecond)));
         return { inFlight, queued: this.queue.length, limit, meanServiceMs, directShare };
     }
 
@@ -98,7 +131,7 @@
 
     /** Runs, queues or refuses a request; returns a function that removes it from the queue. */
     schedule(request: SlotRequest): () => void {
-        if (this.occupiedSlots < this.limit && this.queue.length === 0) {
+        if (this.queue.length === 0 && this.occupiedSlots < this.limit && this.tryTakeToken()) {
             this.start(request);
             return () => undefined;
         }
@@ -112,6 +145,7 @@
         }
         const entry: QueueEntry = { request, dueAtMs, timeout: undefined };
         this.queue.splice(index, 0, entry);
+        this.awaitToken();
         entry.timeout = this.wheel.add(Math.max(0, maxWaitMs), () => {
             if (this.remove(entry)) {
                 request.refuse("expired");
@@ -139,13 +173,16 @@
     }
 
     private computeWait(queuedAhead: number): number {
-        const { occupiedSlots: inFlight, limit } = this;
-        return computeSlotWait({
+        const { occupiedSlots: inFlight, limit, tokens } = this;
+        const slotWaitMs = computeSlotWait({
             inFlight,
             queuedAhead,
             limit,
             meanServiceMs: this.meanServiceMs || initialServiceMs,
         });
+        return tokens
+            ? Math.max(slotWaitMs, computeTokenWaitMs(tokens, queuedAhead + 1, this.readNowMs()))
+            : slotWaitMs;
     }
 
     private computeMaxWait(request: SlotRequest, nowMs: number): number {
@@ -174,11 +211,33 @@
     }
 
     private runQueued(): void {
-        while (this.occupiedSlots < this.limit && this.queue.length > 0) {
+        while (this.queue.length > 0 && this.occupiedSlots < this.limit && this.tryTakeToken()) {
             const { request, timeout } = this.queue.shift()!;
             this.wheel.remove(timeout);
             this.start(request);
         }
+        this.awaitToken();
+    }
+
+    /** Takes a token for a request that starts now; without a rate limit there is always one. */
+    private tryTakeToken(): boolean {
+        if (!this.tokens) {
+            return true;
+        }
+        const next = takeToken(this.tokens, this.readNowMs());
+        this.tokens = next ?? this.tokens;
+        return next !== undefined;
+    }
+
+    /** Runs queued requests when the next token is there, unless they wait for a slot. */
+    private awaitToken(): void {
+        if (!this.tokens || this.queue.length === 0 || this.tokenTimeout || this.occupiedSlots >= this.limit) {
+            return;
+        }
+        this.tokenTimeout = this.wheel.add(computeTokenWaitMs(this.tokens, 1, this.readNowMs()), () => {
+            this.tokenTimeout = undefined;
+            this.runQueued();
+        });
     }
 
     /**
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -8,6 +8,7 @@
 import { ActiveRequests } from "../relay/activeRequests";
 import { Entry, type SendHop } from "../relay/entry";
 import { Ingress } from "../relay/ingress";
+import { LocalUpstream } from "../relay/localUpstream";
 import { EventLog } from "../relay/log";
 import { RelayMetrics } from "../relay/metrics";
 import { ActiveRouting } from "../relay/routing";
@@ -72,7 +73,8 @@
             sendNestedRequest: request => clock.schedule(localLatencyMs, () => this.send(request)),
         });
         const slotQueue = new SlotQueue(wheel, readNowMs);
-        slotQueue.updateSlots(record.slots);
+        const localUpstream = new LocalUpstream({ headerNames: testHeaderNames, slots: slotQueue, log, readNowMs });
+        localUpstream.update(record);
         this.directory = new UpstreamDirectory(record.failureDomain, readNowMs);
         const routing = new ActiveRouting(sampleRandom, () => undefined);
         routing.adopt(createRoutingTable(1, routes), "test");
@@ -95,7 +97,7 @@
             wheel,
             isQuarantined: () => false,
             onConnectionLost: () => undefined,
-            onAnswerHead: () => undefined,
+            onAnswerHead: rawHeaders => localUpstream.observeAnswer(rawHeaders),
             onForeignAnswer: () => undefined,
             onAnswered: () => undefined,
             readMaxBodyBytes: () => Infinity,
