Send nothing to an upstream that says in its answers that it is leaving

Cause: a leaving was known from the list alone. An upstream whose own entry still says ready, or whose node is cut off from the store, went on getting requests. Class of fault: news taken from one source only, though a nearer one has it.

Change: the node beside the upstream refuses new requests a second after the first answer that names the leaving. A node that has passed such an answer on remembers the incarnation (decisions/leavingNotices, pure) and never chooses it again: no list, older answer or older copy of the store takes it back, a new incarnation does. That holds also when the node beside the upstream restarts and has forgotten it.

--- a/src/relay/announcements.ts
+++ b/src/relay/announcements.ts
@@ -10,6 +10,8 @@
     readonly isLeaving: boolean;
 }
 
+/** Value of the header by which an upstream says that it is leaving. */
+export const leavingValue = "1";
 const decimalPattern = /^\d{1,9}(\.\d{1,9})?$/u;
 const nothingAnnounced: Announcements = { ratePerSecond: undefined, isLeaving: false };
 
@@ -32,7 +34,7 @@
         if (limitText !== undefined && ratePerSecond === undefined) {
             this.log.write("limit-unreadable", { header: this.headerNames.rateLimit, value: limitText.slice(0, 40) });
         }
-        const isLeaving = findHeader(rawHeaders, this.headerNames.upstreamLeaving) === "1";
+        const isLeaving = findHeader(rawHeaders, this.headerNames.upstreamLeaving) === leavingValue;
         if (ratePerSecond !== this.current.ratePerSecond || isLeaving !== this.current.isLeaving) {
             this.log.writeState("upstream-announces", { ratePerSecond, leaving: isLeaving });
         }
--- a/src/relay/entry/requestSender.ts
+++ b/src/relay/entry/requestSender.ts
@@ -1,15 +1,17 @@
 /** Sends one request to upstreams until one of them has answered it or no further attempt is allowed. */
-import { firstServerErrorStatus } from "../../constants";
 import { chooseUpstream } from "../../decisions/chooseUpstream";
 import { decideNextAttempt, isReroutable } from "../../decisions/decideNextAttempt";
 import { type Route } from "../../routing/types";
 import { type AnswerHead, type AnswerSink, DiscardingSink } from "../../tasks/_lib/answerSink";
+import { findHeader } from "../../tasks/_lib/headers";
 import { type Timeout } from "../../tasks/_lib/timerWheel";
 import { type BudgetedRequest } from "../_lib/retryBudgets";
 import { type ActiveRequest, recordNestedAnswer } from "../activeRequests";
+import { leavingValue } from "../announcements";
 import { type LogFields } from "../log";
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport, type NotRunReason } from "../types";
 import { type EntryDependencies } from "./index";
+import { isSuccess, judgeOutcome } from "./judgeOutcome";
 
 /** A request with its route, the service that receives it and the request that caused it. */
 export interface SendInput {
@@ -46,6 +48,8 @@
 /** A hop that has no result yet. */
 interface ActiveHop {
     readonly upstreamId: string;
+    /** Start of the upstream's incarnation, in milliseconds since 1970. */
+    readonly bornAtMs: number;
     readonly sentAtMs: number;
     /** Whether an earlier hop may have reached an upstream. */
     readonly isRetry: boolean;
@@ -129,7 +133,8 @@
 
     private startHop(upstreamId: string, isRetry: boolean): void {
         const { directory, sendHop, readNowMs } = this.dependencies;
-        const hop: ActiveHop = { upstreamId, sentAtMs: readNowMs(), isRetry, cancel: () => undefined };
+        const bornAtMs = directory.find(upstreamId)?.bornAtMs ?? -Infinity;
+        const hop: ActiveHop = { upstreamId, bornAtMs, sentAtMs: readNowMs(), isRetry, cancel: () => undefined };
         this.hops.add(hop);
         directory.recordSent(upstreamId);
         const handler: HopHandler = {
@@ -141,6 +146,7 @@
     }
 
     private openStream(hop: ActiveHop, head: AnswerHead): AnswerSink {
+        this.recordHead(hop, head);
         if (this.isFinished) {
             return new DiscardingSink();
         }
@@ -156,6 +162,9 @@
         if (report) {
             this.recordReport(hop.upstreamId, report);
         }
+        if (result.kind === "answered") {
+            this.recordHead(hop, result.head);
+        }
         const outcome = judgeOutcome(result);
         if (outcome !== "unknown") {
             this.dependencies.directory.recordOutcome(hop.upstreamId, outcome === "failure");
@@ -235,6 +244,14 @@
         [...this.hops].filter(hop => hop !== except).forEach(hop => hop.cancel(cause));
     }
 
+    /** Records what the head of an answer says of the upstream. */
+    private recordHead({ upstreamId, bornAtMs }: ActiveHop, { rawHeaders }: AnswerHead): void {
+        const { headerNames, directory } = this.dependencies;
+        if (findHeader(rawHeaders, headerNames.upstreamLeaving) === leavingValue) {
+            directory.recordLeaving({ id: upstreamId, bornAtMs });
+        }
+    }
+
     private recordReport(upstreamId: string, report: LoadReport): void {
         const { route, parent } = this.input;
         this.dependencies.directory.recordReport(upstreamId, report);
@@ -274,18 +291,3 @@
         }
     }
 }
-
-const isSuccess = (result: HopResult): boolean =>
-    result.kind === "answered" && result.head.status < firstServerErrorStatus;
-
-/** Judges whether the upstream of a hop has failed. A refusal by its node and a cancelled request tell nothing. */
-const judgeOutcome = (result: HopResult): "success" | "failure" | "unknown" => {
-    if (result.kind === "answered") {
-        const isFailure = result.head.status >= firstServerErrorStatus;
-        return isFailure && result.nestedCallRefused ? "unknown" : isFailure ? "failure" : "success";
-    }
-    if (result.kind === "not-run") {
-        return result.reason === "rejected" || result.reason === "down" ? "failure" : "unknown";
-    }
-    return result.cause === "cancelled" ? "unknown" : "failure";
-};
--- a/src/relay/localUpstream.ts
+++ b/src/relay/localUpstream.ts
@@ -42,6 +42,7 @@
             this.hasAnswered = false;
             this.limitNamedAtMs = -Infinity;
             this.dependencies.slots.updateRate(undefined);
+            this.leaving.beginIncarnation();
         }
         this.record = record ?? known;
         this.updateSlots();
@@ -55,7 +56,10 @@
             this.updateSlots();
         }
         const { slots, readNowMs } = this.dependencies;
-        const { ratePerSecond } = this.announcements.read(rawHeaders);
+        const { ratePerSecond, isLeaving } = this.announcements.read(rawHeaders);
+        if (isLeaving) {
+            this.leaving.recordAnnouncement();
+        }
         if (ratePerSecond !== undefined) {
             this.limitNamedAtMs = readNowMs();
             slots.updateRate(ratePerSecond);
--- a/src/relay/upstreamDirectory/index.ts
+++ b/src/relay/upstreamDirectory/index.ts
@@ -1,5 +1,6 @@
 /** Directory of upstreams: their records, and the load and failures that this node has observed. */
 import { type UpstreamCandidate } from "../../decisions/chooseUpstream";
+import { addLeavingNotice, type Incarnation, isNoticed, noLeavingNotices } from "../../decisions/leavingNotices";
 import { sampleIndexes } from "../../decisions/sampleIndexes";
 import { type UpstreamRecord } from "../../routing/types";
 import { listUsable } from "../_lib/listUsable";
@@ -57,6 +58,7 @@
 export class UpstreamDirectory {
     private byId = new Map<string, UpstreamRecord>();
     private pools = new Map<string, ServicePool>();
+    private leavingNotices = noLeavingNotices;
     private readonly observations = new Map<string, UpstreamObservation>();
 
     constructor(private readonly failureDomain: string, private readonly readNowMs: () => number) {}
@@ -151,6 +153,11 @@
         observation.leavingUntilMs = report.leaving ? observation.reportedAtMs + leavingReportTtlMs : 0;
     }
 
+    /** Records that an upstream has said that it is leaving. It stays so for this node, whatever lists it is in later. */
+    recordLeaving(incarnation: Incarnation): void {
+        this.leavingNotices = addLeavingNotice(this.leavingNotices, incarnation);
+    }
+
     /** Records that an upstream was unreachable; returns the time for which it is an outlier, in milliseconds. */
     recordFailure(id: string): number {
         const observation = this.getObservation(id);
@@ -178,7 +185,9 @@
     }
 
     private isLeaving(id: string, nowMs: number): boolean {
-        return (this.observations.get(id)?.leavingUntilMs ?? 0) > nowMs;
+        const record = this.byId.get(id);
+        return (this.observations.get(id)?.leavingUntilMs ?? 0) > nowMs
+            || record !== undefined && isNoticed(this.leavingNotices, record);
     }
 
     private isOutlier(id: string, nowMs: number): boolean {
--- a/src/relay/upstreamDirectory/test.ts
+++ b/src/relay/upstreamDirectory/test.ts
@@ -18,6 +18,22 @@
 };
 
 describe("UpstreamDirectory", () => {
+    // Guards against requests to an upstream that an older list shows as ready after it has said that it is leaving.
+    it("never lists an incarnation again that has said that it is leaving, and lists the next one", () => {
+        const { clock, directory, listIds } = createDirectory();
+        const far = createUpstreamRecord({ id: "far", failureDomain: "pvl-b", host: "127.0.0.3", bornAtMs: 7 });
+        directory.update([createUpstreamRecord({ id: "near" }), far]);
+        directory.recordLeaving(far);
+        expect(listIds()).toBe("near");
+        directory.recordReport("far", createReport({ leaving: false }));
+        directory.update([createUpstreamRecord({ id: "near" })]);
+        clock.nowMs += 60_000;
+        directory.update([createUpstreamRecord({ id: "near" }), far]);
+        expect(listIds()).toBe("near");
+        directory.update([createUpstreamRecord({ id: "near" }), { ...far, bornAtMs: 8 }]);
+        expect(listIds()).toBe("near,far");
+    });
+
     it("lists the upstreams that accept requests, without the excluded ones", () => {
         const { listIds } = createDirectory();
         expect(listIds()).toBe("near,far");
--- a/src/relay/upstreamLeaving.test.ts
+++ b/src/relay/upstreamLeaving.test.ts
@@ -27,6 +27,19 @@
         expect(leaving.isToleranceOver()).toBe(true);
     });
 
+    // Guards against requests to an upstream that has said that it is leaving while its entry still says ready.
+    it("keeps to what the upstream itself has said, until another incarnation starts", () => {
+        const { clock, leaving } = createLeaving();
+        leaving.recordAnnouncement();
+        clock.nowMs += 600;
+        leaving.update("ready");
+        leaving.recordAnnouncement();
+        clock.nowMs += 600;
+        expect(leaving.isToleranceOver()).toBe(true);
+        leaving.beginIncarnation();
+        expect(leaving.isToleranceOver()).toBe(false);
+    });
+
     it("serves an upstream that has written its entry again", () => {
         const { clock, leaving } = createLeaving();
         leaving.update("missing");
--- a/src/relay/upstreamLeaving.ts
+++ b/src/relay/upstreamLeaving.ts
@@ -13,6 +13,8 @@
     private wasListed = false;
     private missingSinceMs: number | undefined;
     private leavingSinceMs: number | undefined;
+    /** Time of the upstream's own announcement; no list takes it back. */
+    private announcedAtMs: number | undefined;
 
     constructor(private readonly readNowMs: () => number) {}
 
@@ -29,9 +31,20 @@
         this.leavingSinceMs ??= state === "missing" ? undefined : this.missingSinceMs;
     }
 
+    /** Records that the upstream itself has said that it is leaving. */
+    recordAnnouncement(): void {
+        this.announcedAtMs ??= this.readNowMs();
+    }
+
+    /** Forgets the announcement of the former incarnation. */
+    beginIncarnation(): void {
+        this.announcedAtMs = undefined;
+    }
+
     /** Returns for how long the upstream has been leaving, in milliseconds; undefined if it isn't. */
     readLeavingMs(): number | undefined {
-        return this.leavingSinceMs === undefined ? undefined : this.readNowMs() - this.leavingSinceMs;
+        const sinceMs = Math.min(this.leavingSinceMs ?? Infinity, this.announcedAtMs ?? Infinity);
+        return sinceMs === Infinity ? undefined : this.readNowMs() - sinceMs;
     }
 
     /** Whether the upstream has been leaving for longer than the tolerance and must receive no new requests. */
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -104,8 +104,8 @@
             createReport: (hopRequest, stats) =>
                 createLoadReport(slotQueue, hopRequest, stats, { leaving: false, version: 1 }),
             onVersionSeen: () => undefined,
-            isLeaving: () => false,
-            readLeavingMs: () => undefined,
+            isLeaving: () => localUpstream.leaving.isToleranceOver(),
+            readLeavingMs: () => localUpstream.leaving.readLeavingMs(),
         });
         this.entry = new Entry({
             ...sharedDependencies,
