Refuse soon what would wait long for an upstream's rate limit

A request that is queued for a token may wait until its deadline or target latency, though another upstream of the service takes it at once. It waits for a quarter of its target latency at most now and is refused as not run, so that its sender reroutes it. The bound of the limit stays.

--- a/src/relay/slotQueue/index.ts
+++ b/src/relay/slotQueue/index.ts
@@ -62,6 +62,8 @@
 const overdueFactor = 8;
 /** Lower bound of the time after which a request is overdue, in milliseconds; applies if `overdueFactor` gives less. */
 const minOverdueMs = 300;
+/** Longest wait of a request at an upstream with a rate limit, as a share of the target latency. */
+const maxTokenWaitShare = 0.25;
 /** Maximum number of overdue requests that do not count against the concurrency limit, as a share of the limit. */
 const maxOverdueShare = 0.8;
 /** Weight in the direct share of an answered request with the mean service time; it grows with the service time. */
@@ -138,7 +140,7 @@
         const nowMs = this.readNowMs();
         const dueAtMs = nowMs + computeDueDelay(request, this.directShare);
         const index = this.findQueueIndex(dueAtMs);
-        const maxWaitMs = this.computeMaxWait(request, nowMs);
+        const maxWaitMs = Math.min(this.computeMaxWait(request, nowMs), this.computeMaxTokenWait(request));
         if (this.computeWait(index) > maxWaitMs) {
             request.refuse("full");
             return () => undefined;
@@ -194,6 +196,11 @@
         });
     }
 
+    /** Computes how long a request may wait for the rate limit; other upstreams of the service may have none. */
+    private computeMaxTokenWait({ targetLatencyMs }: SlotRequest): number {
+        return this.tokens ? maxTokenWaitShare * targetLatencyMs : Infinity;
+    }
+
     private findQueueIndex(dueAtMs: number): number {
         let index = this.queue.length;
         while (index > 0 && this.queue[index - 1]!.dueAtMs > dueAtMs) {
