Keep the few direct requests of a service ahead of nearly complete trees

Cause: since the nested calls of nearly complete lookups are due earlier, and pass the few direct requests of the same rank at the bottleneck.

Change: direct requests at a service where they are few wait less for their rank (factor 0.2 instead of 0.5).

--- a/src/decisions/computeDueDelay/index.ts
+++ b/src/decisions/computeDueDelay/index.ts
@@ -18,7 +18,7 @@
  * Used instead of `rankFactor` for direct requests where they are few. It is smaller, since delaying them frees little
  * capacity.
  */
-const fewDirectRankFactor = 0.5;
+const fewDirectRankFactor = 0.2;
 /** Direct requests count as few if they use less than this share of the slot time. */
 const fewDirectShare = 0.25;
 
