Begin anew to count renewed entries when another node tells of an outage

A node that learns from another one that upstreams have time to renew their entries took every entry written since its own last outage for renewed: the lapsed ones of live upstreams were removed at once instead of being kept as missing. The new test of FleetView failed (a dropped).

--- a/src/relay/fleet/fleetView.test.ts
+++ b/src/relay/fleet/fleetView.test.ts
@@ -95,6 +95,23 @@
         expect(readStates(view)).toEqual({});
     });
 
+    // Guards against dropping live upstreams after an outage of the store that only other nodes have noticed.
+    it("takes an upstream for missing in a time to renew entries that another node has told it of", () => {
+        const { view } = createView();
+        const records = ["a", "b"].map(id => createUpstreamRecord({ id, sequence: 1 }));
+        view.apply(createBatch(1, 5, { isFull: true, records }));
+        view.apply(createBatch(1, 6, { records: [createUpstreamRecord({ id: "a", sequence: 2 })] }));
+        view.adoptRenewal(1_500);
+        view.apply(createBatch(1, 7));
+        view.apply(createBatch(1, 8, { removedIds: ["a"] }));
+        expect(readStates(view)).toEqual({ a: "missing", b: "ready" });
+        view.adoptRenewal(1_400);
+        view.apply(createBatch(1, 9, { records: [createUpstreamRecord({ id: "a", sequence: 3 })] }));
+        view.adoptRenewal(1_300);
+        view.apply(createBatch(1, 10, { removedIds: ["a"] }));
+        expect(readStates(view)).toEqual({ b: "ready" });
+    });
+
     it("forgets a missing upstream that another node has told it of", () => {
         const { clock, view } = createView();
         const missing = createUpstreamRecord({ id: "a", state: "missing" });
--- a/src/relay/fleet/fleetView.ts
+++ b/src/relay/fleet/fleetView.ts
@@ -39,7 +39,7 @@
     /** Highest serial of a removed upstream that has been forgotten. */
     private forgottenSerial = 0;
     private renewalEndsAtMs = -Infinity;
-    /** Upstreams that have written their entries since the time to renew them began; their removal is final. */
+    /** Upstreams that have written their entries since the last time to renew them began; their removal is final. */
     private readonly renewedIds = new Set<string>();
     /** Whether the next batch is the first since an outage, and may list entries from before it. */
     private isNextBatchOld = false;
@@ -71,12 +71,14 @@
     /** Begins the time in which missing upstreams are kept, since they may not have been able to renew their entries. */
     beginRenewal(): void {
         this.renewalEndsAtMs = this.readNowMs() + renewalGraceMs;
-        this.renewedIds.clear();
-        this.isNextBatchOld = true;
+        this.expireRenewedIds();
     }
 
     /** Takes over the time to renew entries from a node that knows better when the store has come back. */
     adoptRenewal(leftMs: number): void {
+        if (this.renewalLeftMs === 0 && leftMs > 0) {
+            this.expireRenewedIds();
+        }
         this.renewalEndsAtMs = this.readNowMs() + Math.min(renewalGraceMs, leftMs);
         this.removalTimes.forEach((atMs, id) => this.removalTimes.set(id, Math.min(atMs, this.renewalEndsAtMs)));
     }
@@ -139,6 +141,11 @@
         };
     }
 
+    private expireRenewedIds(): void {
+        this.renewedIds.clear();
+        this.isNextBatchOld = true;
+    }
+
     private applyRecord(record: UpstreamRecord, isFull: boolean): void {
         const { id } = record;
         if (isFull && (this.isGone(record) || this.isOutdated(record))) {
