Take the milliseconds of a second from the constants in the token bucket

Found by reading the diff: tokenBucket wrote msPerSecond again, which src/constants exports. No behaviour changes; the tests of tokenBucket and namedLimit pass as before.

--- a/src/decisions/tokenBucket/index.ts
+++ b/src/decisions/tokenBucket/index.ts
@@ -1,3 +1,5 @@
+import { msPerSecond } from "../../constants";
+
 /** Tokens that accrue at a rate; each admits one request. */
 export interface TokenBucket {
     readonly ratePerSecond: number;
@@ -12,7 +14,6 @@
 const burstSeconds = 0.5;
 const minBurst = 1;
 const maxBurst = 3;
-const msPerSecond = 1_000;
 /** Tolerance for sums of fractions. */
 const tokenTolerance = 1e-9;
 
