--- a/src/_lib/checkShape/index.ts
+++ b/src/_lib/checkShape/index.ts
@@ -23,18 +23,30 @@
     return text.length > maxValueCharacters ? `${text.slice(0, maxValueCharacters)}...` : text;
 };
 
-const createFault = (input: unknown, issue: z.core.$ZodIssue): Fault => ({
+/** How faults are described. */
+export interface CheckOptions {
+    /** Whether the input holds secrets, so that no fault may show a value of it. */
+    readonly isSecret?: boolean;
+}
+
+const createFault = (input: unknown, issue: z.core.$ZodIssue, isSecret: boolean): Fault => ({
     path: formatPath(issue.path),
     message: issue.code === "unrecognized_keys"
         ? `unknown ${issue.keys.length === 1 ? "key" : "keys"} ${issue.keys.map(key => `"${key}"`).join(", ")}`
+        : isSecret
+        ? issue.message
         : `${issue.message}; found ${describeValue(getValueAt(input, issue.path))}`,
 });
 
 /** Checks a value against a schema; returns the parsed value with defaults applied, or all faults. */
-export const checkShape = <Schema extends z.ZodType>(schema: Schema, input: unknown): Checked<z.output<Schema>> => {
+export const checkShape = <Schema extends z.ZodType>(
+    schema: Schema,
+    input: unknown,
+    { isSecret = false }: CheckOptions = {},
+): Checked<z.output<Schema>> => {
     const result = schema.safeParse(input);
     if (result.success) {
         return { ok: true, value: result.data };
     }
-    return { ok: false, faults: result.error.issues.map(issue => createFault(input, issue)) };
+    return { ok: false, faults: result.error.issues.map(issue => createFault(input, issue, isSecret)) };
 };
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -25,6 +25,26 @@
     readonly maxUpstreams: number;
     /** Services that the requests are distributed over; at least one, with positive weights. */
     readonly targets: readonly RouteTarget[];
+    /** Whether its requests need no key, also where organisations have keys. */
+    readonly isPublic: boolean;
+}
+
+/** Limit on the requests of an organisation, over all nodes together. */
+export interface Quota {
+    readonly ratePerSecond: number;
+    /** Requests allowed at once in addition to the rate. */
+    readonly burst: number;
+}
+
+/** An organisation, which callers name by a key. */
+export interface Organisation {
+    readonly name: string;
+    /** Digests of its keys; see `computeKeyDigest`. The keys themselves are kept nowhere. */
+    readonly keyDigests: readonly string[];
+    /** Rank of its requests, which takes precedence over the rank of the route; undefined if it has none. */
+    readonly rank?: number | undefined;
+    /** Undefined if its requests are not limited. */
+    readonly quota?: Quota | undefined;
 }
 
 /** Limits on the size of requests and on the time that callers may take to send them. */
@@ -35,12 +55,14 @@
     readonly idleTimeoutMs: number;
 }
 
-/** One version of the routes and of the limits on requests. */
+/** One version of the routes, of the limits on requests and of the organisations. */
 export interface RoutingTable {
     /** Version number; increases with each version, not necessarily by one. */
     readonly version: number;
     readonly routes: readonly Route[];
     readonly limits: RequestLimits;
+    /** Organisations whose keys requests carry; undefined if requests carry no keys. */
+    readonly organisations?: readonly Organisation[] | undefined;
 }
 
 /**
--- a/src/testing/createRoute.ts
+++ b/src/testing/createRoute.ts
@@ -1,4 +1,4 @@
-import { type Route, type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { type Organisation, type Route, type RoutingTable, type UpstreamRecord } from "../routing/types";
 
 /** Creates a route, by default an idempotent one to the service `desk`. */
 export const createRoute = (overrides: Partial<Route> = {}): Route => ({
@@ -11,13 +11,19 @@
     rank: 2,
     maxUpstreams: 2,
     targets: [{ service: "desk", weight: 1 }],
+    isPublic: false,
     ...overrides,
 });
 
 /** Creates a routing table with fixed limits on headers, bodies and idle connections. */
-export const createRoutingTable = (version: number, routes: readonly Route[]): RoutingTable => ({
+export const createRoutingTable = (
+    version: number,
+    routes: readonly Route[],
+    organisations?: readonly Organisation[],
+): RoutingTable => ({
     version,
     routes,
+    organisations,
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 });
 
