Keep the connection open after refusing a request without a body

Cause: a request without Content-Length counted as one with an unread body of unknown length, since the parser reports its end only after the request has been handed over. Every refusal of a GET closed its connection, and requests that were already sent behind it had to be sent again. Ruled out: the 401 itself, which only showed it. Change: without a length, only a chunked request has a body.

--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -70,8 +70,9 @@
     }
 
     hasUnreadBody(): boolean {
-        const length = Number(this.request.headers["content-length"] ?? Infinity);
-        return !this.request.complete && length > maxReplayBodyBytes;
+        const { complete, headers } = this.request;
+        const lengthWithoutHeader = headers["transfer-encoding"] === undefined ? 0 : Infinity;
+        return !complete && Number(headers["content-length"] ?? lengthWithoutHeader) > maxReplayBodyBytes;
     }
 
     isLatestOnConnection(): boolean {
