--- a/src/relay/_lib/createLoadReport.ts
+++ b/src/relay/_lib/createLoadReport.ts
@@ -7,7 +7,7 @@
     slots: SlotQueue,
     hopRequest: HopRequest,
     hopStats: HopStats,
-    nodeState: Pick<LoadReport, "leaving" | "version">,
+    nodeState: Pick<LoadReport, "leaving" | "version" | "tableAgeMs">,
 ): LoadReport => ({
     ...slots.readStats(),
     congestion: Math.max(slots.computeCongestion(hopRequest), hopStats.congestion),
--- a/src/relay/control/index.ts
+++ b/src/relay/control/index.ts
@@ -1,9 +1,9 @@
-/** Control procedures between nodes over tRPC: fleet view, its changes, and reports of suspected poison requests. */
+/** Control procedures between nodes over tRPC: fleet view, its changes, the routing table, and reports of suspected poison requests. */
 import { initTRPC } from "@trpc/server";
 import { type RequestListener } from "node:http";
 import * as z from "zod";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
-import { type ChangesQuery, type FleetChanges } from "../fleet/types";
+import { type ChangesQuery, type FleetChanges, type TableAnswer } from "../fleet/types";
 import { createProcedureHandler } from "./procedureHandler";
 
 /** One node's view of the fleet: its routing table and its upstream records. */
@@ -17,6 +17,8 @@
     readonly readView: () => NodeView;
     /** Waits for changes of the fleet view. */
     readonly awaitChanges: (query: ChangesQuery) => Promise<FleetChanges>;
+    /** Describes the routing table and its proof for a node whose table has the version `version`. */
+    readonly describeTable: (version: number) => TableAnswer;
     /** Called with the fingerprint of a request during which an upstream crashed, and with the name of its node. */
     readonly receiveSuspect: (fingerprint: string, node: string) => void;
 }
@@ -36,11 +38,14 @@
     waitMs: z.number().min(0).max(maxChangesWaitMs),
 });
 
+const tableSchema = z.object({ version: z.number() });
+
 const createRelayRouter = (dependencies: ControlDependencies) => {
     const trpc = initTRPC.create();
     return trpc.router({
         view: trpc.procedure.query(() => dependencies.readView()),
         changes: trpc.procedure.input(changesSchema).query(({ input }) => dependencies.awaitChanges(input)),
+        table: trpc.procedure.input(tableSchema).query(({ input }) => dependencies.describeTable(input.version)),
         suspect: trpc.procedure.input(suspectSchema).mutation(({ input }) => {
             dependencies.receiveSuspect(input.fingerprint, input.node);
         }),
--- a/src/relay/control/test.ts
+++ b/src/relay/control/test.ts
@@ -37,6 +37,7 @@
             queries.push(query);
             return isAnswering ? Promise.resolve(changes) : new Promise(() => undefined);
         },
+        describeTable: () => ({ version: 0, tableAgeMs: undefined, table: undefined }),
         receiveSuspect: (fingerprint, node) => suspects.push(`${fingerprint} ${node}`),
     }));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -1,7 +1,7 @@
 /** Handles one request at the entry, from its arrival to its answer. */
 import { computeNestedRank } from "../../decisions/computeNestedRank";
-import { type Route } from "../../routing/types";
-import { type AnswerHead, type AnswerSink, StartedSink } from "../../tasks/_lib/answerSink";
+import { type Organisation, type Route } from "../../routing/types";
+import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
 import { findHeader } from "../../tasks/_lib/headers";
 import { type Problem, sendProblem } from "../../tasks/_lib/problem";
@@ -10,16 +10,19 @@
 import { type ActiveRequest } from "../activeRequests";
 import { sendBufferedAnswer } from "../ingress";
 import { type LogFields } from "../log";
+import { CallStream } from "./callStream";
 import { type EntryCallDependencies } from "./index";
 import {
     describeBodyError,
     describeDeadlineExceeded,
     describeHopFailure,
+    describeKeyProblem,
     describeNoUpstream,
     describeShed,
     describeUnknownRoute,
     leavingProblem,
     noRoutingProblem,
+    orphanedCallProblem,
 } from "./problems";
 import { RequestSender, type SendHandler, type SendResult } from "./requestSender";
 
@@ -36,6 +39,8 @@
     /** The request that the local upstream was serving when it sent this nested one; undefined for a direct request. */
     private readonly parent: ActiveRequest | undefined;
     private route: Route | undefined;
+    /** Organisation that the request belongs to; undefined without keys, for public routes and for nested requests. */
+    private organisation: Organisation | undefined;
     private deadlineAtMs = 0;
     private sender: RequestSender | undefined;
     private isComplete = false;
@@ -108,6 +113,7 @@
             request: this.requestId,
             route: this.route?.name ?? "none",
             version: this.dependencies.routing.version,
+            organisation: this.organisation?.name,
             nested: this.parent !== undefined,
             ...fields,
         });
@@ -123,6 +129,10 @@
         if (!route) {
             return describeUnknownRoute(host, routing.version);
         }
+        const keyProblem = this.identifyOrganisation(route);
+        if (keyProblem) {
+            return keyProblem;
+        }
         this.deadlineAtMs = this.startedAtMs + Math.min(this.parseDeadlineMs(), route.timeoutMs) - readStaleMs();
         if (this.deadlineAtMs <= this.startedAtMs) {
             return describeDeadlineExceeded(false);
@@ -130,12 +140,41 @@
         if (!this.parent && this.deadlineAtMs - this.startedAtMs > computeTimeLeftMs()) {
             return leavingProblem;
         }
-        if (this.parent || shedding.tryAdmit(route.name, route.rank, host + this.request.url)) {
+        if (this.parent || shedding.tryAdmit(route.name, this.rank, host + this.request.url)) {
             return undefined;
         }
         return describeShed(shedding.readAdmissionProbability(route.name), route.targetLatencyMs, sampleRandom());
     }
 
+    /** Sets the organisation of a direct request; returns a problem if it is not known. */
+    private identifyOrganisation({ isPublic }: Route): Problem | undefined {
+        const { callerKeys, headerNames } = this.dependencies;
+        if (this.parent) {
+            return undefined;
+        }
+        const identity = callerKeys.identify(this.request.rawHeaders, isPublic);
+        if (identity.kind === "accepted") {
+            this.organisation = identity.organisation;
+            return undefined;
+        }
+        return identity.kind === "missing" && this.requestId.includes(headerNames.callSeparator)
+            ? orphanedCallProblem
+            : describeKeyProblem(identity);
+    }
+
+    /** Rank of the request as a direct one. */
+    private get rank(): number {
+        return this.organisation?.rank ?? this.route!.rank;
+    }
+
+    /** Creates the headers that upstreams receive; the key is not among them, but the name of its organisation is. */
+    private createHeaders(body: RequestBody): string[] {
+        const { callerKeys, replacedHeaders, replacedHeadersAndKey, headerNames } = this.dependencies;
+        const removedNames = callerKeys.isRequired ? replacedHeadersAndKey : replacedHeaders;
+        const rawHeaders = createForwardHeaders(this.request, body, removedNames);
+        return this.organisation ? [...rawHeaders, headerNames.organisation, this.organisation.name] : rawHeaders;
+    }
+
     private parseDeadlineMs(): number {
         const requestedDeadlineMs = Number(findHeader(this.request.rawHeaders, this.dependencies.headerNames.deadline));
         return Number.isFinite(requestedDeadlineMs) && requestedDeadlineMs > 0
@@ -144,22 +183,21 @@
     }
 
     private send(body: RequestBody): void {
-        const { replacedHeaders, routing, readService } = this.dependencies;
+        const { routing, readService } = this.dependencies;
         const route = this.route!;
         const service = routing.chooseService(route);
-        const rawHeaders = createForwardHeaders(this.request, body, replacedHeaders);
         const { parent, startedAtMs } = this;
         const request = {
             requestId: this.requestId,
             method: this.request.method,
             path: this.request.url,
-            rawHeaders,
+            rawHeaders: this.createHeaders(body),
             body,
             route: route.name,
             callerService: readService(),
             idempotent: route.idempotent,
             nested: parent !== undefined,
-            rank: parent ? computeNestedRank(parent.rank, parent.succeededNestedCalls) : route.rank,
+            rank: parent ? computeNestedRank(parent.rank, parent.succeededNestedCalls) : this.rank,
             targetLatencyMs: route.targetLatencyMs,
             deadlineAtMs: this.deadlineAtMs,
         };
@@ -236,29 +274,3 @@
         this.onComplete();
     }
 }
-
-/** Writes a streamed answer to the caller and reports its end. */
-class CallStream extends StartedSink {
-    private isEnded = false;
-
-    constructor(sink: AnswerSink, private readonly onEnded: (outcome: "streamed" | "broken-off") => void) {
-        super(sink);
-    }
-
-    override end(): void {
-        super.end();
-        this.finishOnce("streamed");
-    }
-
-    override abort(): void {
-        super.abort();
-        this.finishOnce("broken-off");
-    }
-
-    private finishOnce(outcome: "streamed" | "broken-off"): void {
-        if (!this.isEnded) {
-            this.isEnded = true;
-            this.onEnded(outcome);
-        }
-    }
-}
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -7,6 +7,7 @@
 import { type ActiveRequests } from "../activeRequests";
 import { type EventLog } from "../log";
 import { type RelayMetrics } from "../metrics";
+import { type CallerKeys } from "../organisations/callerKeys";
 import { type ActiveRouting } from "../routing";
 import { type Shedding } from "../shedding";
 import { type HeaderNames, type HopHandler, type HopRequest } from "../types";
@@ -25,6 +26,7 @@
     /** Returns the service of this instance, which upstreams receive as the caller service. */
     readonly readService: () => string;
     readonly routing: ActiveRouting;
+    readonly callerKeys: CallerKeys;
     readonly directory: UpstreamDirectory;
     readonly shedding: Shedding;
     readonly activeRequests: ActiveRequests;
@@ -47,6 +49,8 @@
 export interface EntryCallDependencies extends EntryDependencies {
     /** Lower-case names of request headers that are not forwarded. The node sets new values for most of them. */
     readonly replacedHeaders: ReadonlySet<string>;
+    /** These names with that of the header with the caller's key. */
+    readonly replacedHeadersAndKey: ReadonlySet<string>;
 }
 
 /** Starts an `EntryCall` for each request, and counts the requests without an answer. */
@@ -56,11 +60,12 @@
     private readonly dependencies: EntryCallDependencies;
 
     constructor(dependencies: EntryDependencies) {
-        const { deadline, target, callerService } = dependencies.headerNames;
-        const nodeHeaders = [deadline, target, callerService];
+        const { deadline, target, callerService, organisation, authorization } = dependencies.headerNames;
+        const replacedHeaders = [...relayReplacedRequestHeaders, deadline, target, callerService, organisation];
         this.dependencies = {
             ...dependencies,
-            replacedHeaders: new Set([...relayReplacedRequestHeaders, ...nodeHeaders]),
+            replacedHeaders: new Set(replacedHeaders),
+            replacedHeadersAndKey: new Set([...replacedHeaders, authorization]),
         };
     }
 
--- a/src/relay/entry/problems.ts
+++ b/src/relay/entry/problems.ts
@@ -2,6 +2,7 @@
 import { msPerSecond } from "../../constants";
 import { computeRetryAfterMs } from "../../decisions/computeRetryAfterMs";
 import { type Problem } from "../../tasks/_lib/problem";
+import { type KeyIdentity } from "../organisations/callerKeys";
 import { type HopResult } from "../types";
 
 const retryAfterDecimals = 2;
@@ -34,6 +35,35 @@
     detail: `version ${version} has no route of ${host} for this path`,
 });
 
+/** Describes a request that matches a route, but whose sender is unknown or can't be known. */
+export const describeKeyProblem = (identity: Exclude<KeyIdentity, { readonly kind: "accepted"; }>): Problem =>
+    identity.kind === "unproven"
+        ? {
+            status: 503,
+            reason: "unproven-key",
+            outcome: "not-run",
+            detail: `the routing table may be ${formatSeconds(identity.tableAgeMs)} s old, too old to judge keys by`,
+            retryAfterSeconds: 0.5,
+        }
+        : {
+            status: 401,
+            reason: "unknown-key",
+            outcome: "not-run",
+            detail: {
+                missing: "the request has no key",
+                malformed: "the request has no key in a valid form",
+                unknown: "no organisation has this key",
+            }[identity.kind],
+        };
+
+/** Answer to a request of an upstream whose own request has ended or is not known here, so that nobody waits for it. */
+export const orphanedCallProblem: Problem = {
+    status: 503,
+    reason: "orphaned-call",
+    outcome: "not-run",
+    detail: "the request that this one belongs to has ended",
+};
+
 /** Describes a direct request that is shed because the services on its path report congestion. */
 export const describeShed = (admissionProbability: number, targetLatencyMs: number, random: number): Problem => ({
     status: 503,
--- a/src/relay/entry/requestSender.test.ts
+++ b/src/relay/entry/requestSender.test.ts
@@ -1,6 +1,7 @@
 import pino from "pino";
 import { relayTimerTickMs } from "../../constants";
 import { TimerWheel } from "../../tasks/_lib/timerWheel";
+import { createCallerKeys } from "../../testing/createCallerKeys";
 import { createRoute, createRoutingTable, createUpstreamRecord } from "../../testing/createRoute";
 import { emptySlotStats } from "../../testing/emptySlotStats";
 import { testHeaderNames } from "../../testing/startRelayFleet";
@@ -58,6 +59,7 @@
         writeLog: () => undefined,
     }, {
         headerNames: testHeaderNames,
+        callerKeys: createCallerKeys(),
         readService: () => "gate",
         routing,
         directory,
--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -2,11 +2,20 @@
 import { comparePositions } from "../../decisions/comparePositions";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+import { type Instant } from "../../types";
 import { type SourceListener } from "../source";
 import { ChangeWaiters } from "./changeWaiters";
 import { FleetView } from "./fleetView";
 import { PeerRanking, type RankingPlace } from "./peerRanking";
-import { type ChangesQuery, type FleetBatch, type FleetChanges, type StoreReading } from "./types";
+import { type TableEvidence, TableProof } from "./tableProof";
+import {
+    type ChangesQuery,
+    type FleetBatch,
+    type FleetChanges,
+    type StoreReading,
+    type TableAnswer,
+    type TableReading,
+} from "./types";
 
 /** The platform's name as a place that changes are read from. */
 export const platformPlace = "platform";
@@ -25,6 +34,7 @@
 export class FleetState {
     readonly ranking: PeerRanking;
     readonly view: FleetView;
+    readonly proof: TableProof;
     /** Whether everything has to be read from the store again. */
     mustReadAll = true;
     private isReachable: boolean | undefined;
@@ -38,6 +48,7 @@
     private readonly waiters: ChangeWaiters;
 
     constructor(private readonly options: FleetStateOptions, private readonly listener: SourceListener) {
+        this.proof = new TableProof(options.clock);
         this.view = new FleetView(options.viewId, options.clock.readMonotonicMs);
         this.ranking = new PeerRanking(options, options.clock.readMonotonicMs);
         this.waiters = new ChangeWaiters(options.clock);
@@ -63,22 +74,53 @@
 
     /** Waits for changes since the cursor of another node's query. */
     async awaitChanges(query: ChangesQuery): Promise<FleetChanges> {
+        const queriedAt = this.proof.readNow();
         if (query.waitMs > 0 && !this.hasChanges(query)) {
             await this.waiters.awaitRelease(query.waitMs);
         }
-        const table = this.listener.readTable();
         return {
             viewId: this.options.viewId,
             serial: this.view.serial,
             batch: this.view.listChanges(query),
-            table: table && table.version > query.version ? table : undefined,
             isCurrent: this.isCurrent,
             renewalLeftMs: this.view.renewalLeftMs,
+            ...this.describeTable(query.version),
+            tableAgeMs: this.readFiniteAge(this.proof.readNow().monotonicMs - queriedAt.monotonicMs),
+        };
+    }
+
+    /** Describes the routing table and its proof for a node whose table has the version `version`. */
+    describeTable(version: number): TableAnswer {
+        const table = this.listener.readTable();
+        return {
+            version: table?.version ?? 0,
+            tableAgeMs: this.readFiniteAge(0),
+            table: table && table.version > version ? table : undefined,
         };
     }
 
-    /** Applies a reading of the store; returns whether it succeeded. */
-    applyReading(reading: StoreReading): boolean {
+    /** Applies a routing table that was read from the store after `askedAt`; returns whether the read succeeded. */
+    applyTableReading(reading: TableReading, askedAt: Instant): boolean {
+        if (reading.kind !== "table") {
+            return false;
+        }
+        this.applyTable(reading.table, platformPlace);
+        this.recordEvidence({ version: reading.table.version, askedAt, ageMs: 0 });
+        return true;
+    }
+
+    /** Applies what another node has answered about its table. */
+    applyTableAnswer({ table, version, tableAgeMs }: TableAnswer, host: string, askedAt: Instant): void {
+        this.applyTable(table, host);
+        this.recordEvidence({ version, askedAt, ageMs: tableAgeMs ?? Infinity });
+    }
+
+    recordEvidence(evidence: TableEvidence): void {
+        this.proof.record(evidence, this.readVersion());
+    }
+
+    /** Applies a reading of the store that began at `askedAt`; returns whether it succeeded. */
+    applyReading(reading: StoreReading, askedAt: Instant): boolean {
         this.reportReachability(reading);
         if (reading.kind !== "batch") {
             this.mustReadAll ||= reading.kind === "history-lost";
@@ -86,15 +128,18 @@
         }
         reading.unreadable.forEach(({ key, detail }) => this.listener.onUnreadable(key, detail));
         this.applyTable(reading.table, platformPlace);
+        if (reading.batch.isFull && reading.table) {
+            this.recordEvidence({ version: reading.table.version, askedAt, ageMs: 0 });
+        }
         const result = this.applyBatch(reading.batch, platformPlace);
         this.mustReadAll = result === "gap" || result === "outdated" && reading.batch.isFull;
         return result === "applied";
     }
 
-    /** Applies the answer of another node; returns false if its view is older than this node's. */
-    applyChanges(changes: FleetChanges, host: string): boolean {
-        const { viewId, serial, batch, table } = changes;
-        this.applyTable(table, host);
+    /** Applies the answer of another node to a query of `askedAt`; returns false if its view is older than this node's. */
+    applyChanges(changes: FleetChanges, host: string, askedAt: Instant): boolean {
+        const { viewId, serial, batch, table, version = 0, tableAgeMs } = changes;
+        this.applyTableAnswer({ table, version, tableAgeMs }, host, askedAt);
         if (changes.isCurrent) {
             this.isOutageKnown = false;
             this.view.adoptRenewal(changes.renewalLeftMs ?? 0);
@@ -182,6 +227,12 @@
         return this.isCurrent && (!isViewKnown || this.readVersion() > version);
     }
 
+    /** Returns the age of the proof less `heldMs`, in milliseconds; undefined without a proof, since JSON has no Infinity. */
+    private readFiniteAge(heldMs: number): number | undefined {
+        const ageMs = this.proof.readAgeMs() - heldMs;
+        return Number.isFinite(ageMs) ? ageMs : undefined;
+    }
+
     private readVersion(): number {
         return this.listener.readTable()?.version ?? 0;
     }
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -1,10 +1,20 @@
 /** Keeps a node's view of the fleet current: two nodes of each failure domain watch the store, the others ask them. */
 import { type UpstreamRecord } from "../../routing/types";
 import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+import { type Instant } from "../../types";
 import { type FleetSource, type SourceListener } from "../source";
 import { FleetState, platformPlace } from "./fleetState";
 import { type RankingPlace } from "./peerRanking";
-import { type ChangesClient, type ChangesQuery, type FleetChanges, type StoreReader, type StoreReading } from "./types";
+import { type TableEvidence } from "./tableProof";
+import { TableProver } from "./tableProver";
+import {
+    type ChangesClient,
+    type ChangesQuery,
+    type FleetChanges,
+    type StoreReader,
+    type StoreReading,
+    type TableAnswer,
+} from "./types";
 
 /**
  * Time that a watch of the store waits, in milliseconds. A lost answer is noticed only when the watch times out, and a
@@ -52,6 +62,7 @@
 /** Reads the store, or asks nodes that do, and answers the queries of other nodes. */
 export class FleetTracker implements FleetSource {
     private state: FleetState | undefined;
+    private prover: TableProver | undefined;
     private isStopped = false;
     private failureCount = 0;
     private watchesUntilMs = -Infinity;
@@ -63,11 +74,14 @@
 
     start(listener: SourceListener): void {
         this.state = new FleetState(this.options, listener);
+        this.prover = new TableProver(this.options, this.state, listener);
         void this.runTracking(this.state);
+        void this.prover.run();
     }
 
     stop(): void {
         this.isStopped = true;
+        this.prover?.stop();
         this.options.reader.close();
         this.options.client.close();
         this.state?.releaseWaiters();
@@ -82,6 +96,18 @@
             ?? { viewId, serial: 0, batch: undefined, table: undefined, isCurrent: false };
     }
 
+    describeTable(version: number): TableAnswer {
+        return this.state?.describeTable(version) ?? { version: 0, tableAgeMs: undefined, table: undefined };
+    }
+
+    readTableAgeMs(): number {
+        return this.state?.proof.readAgeMs() ?? Infinity;
+    }
+
+    recordTableEvidence(evidence: TableEvidence): void {
+        this.state?.recordEvidence(evidence);
+    }
+
     receivePeers(records: readonly UpstreamRecord[]): void {
         this.state?.receivePeers(records);
     }
@@ -104,12 +130,13 @@
         const { reader, clock, sampleRandom, isFirstStart } = this.options;
         let vainLookups = 0;
         while (vainLookups < maxVainLookups && this.readNowMs() - startedAtMs < maxLookupMs && !this.isStopped) {
+            const askedAt = state.proof.readNow();
             const reading = await reader.readAll({ allowStale: isFirstStart });
             if (reading.kind === "batch") {
                 state.ranking.update(reading.batch.records);
                 vainLookups += reading.batch.records.length > 0 ? 1 : 0;
             }
-            if (!isFirstStart && this.applyReading(state, reading)) {
+            if (!isFirstStart && this.applyReading(state, reading, askedAt)) {
                 return;
             }
             if (await this.takeOverView(state) || state.ranking.hasPeers) {
@@ -121,8 +148,9 @@
 
     private async takeOverView(state: FleetState): Promise<boolean> {
         for (const host of state.ranking.listPeers()) {
+            const askedAt = state.proof.readNow();
             const changes = await this.options.client.queryChanges(host, state.createQuery(0));
-            if (changes?.batch && state.applyChanges(changes, host)) {
+            if (changes?.batch && state.applyChanges(changes, host, askedAt)) {
                 return true;
             }
         }
@@ -144,6 +172,7 @@
 
     private async queryPeer(state: FleetState, host: string): Promise<void> {
         state.updateReadingStore(false);
+        const askedAt = state.proof.readNow();
         const changes = await this.options.client.queryChanges(host, state.createQuery(peerWaitMs));
         if (this.isStopped) {
             return;
@@ -153,7 +182,7 @@
             await this.readChanges(state);
             return;
         }
-        const isApplied = state.applyChanges(changes, host);
+        const isApplied = state.applyChanges(changes, host, askedAt);
         this.outdatedAnswers = isApplied ? 0 : this.outdatedAnswers + 1;
         if (!changes.isCurrent) {
             await this.readChangesInTurn(state);
@@ -176,7 +205,8 @@
 
     /** Reads once what the store has, since no other node has told the changes for a while. */
     private async readChanges(state: FleetState): Promise<void> {
-        if (!this.applyReading(state, await this.readStore(state, catchUpWaitMs)) && !this.isStopped) {
+        const askedAt = state.proof.readNow();
+        if (!this.applyReading(state, await this.readStore(state, catchUpWaitMs), askedAt) && !this.isStopped) {
             await this.awaitRetryDelay();
         }
     }
@@ -191,28 +221,31 @@
             return;
         }
         this.nextDirectAtMs = nowMs + directIntervalMs * (0.5 + sampleRandom());
-        if (this.applyReading(state, await this.readStore(state, catchUpWaitMs))) {
+        const askedAt = state.proof.readNow();
+        if (this.applyReading(state, await this.readStore(state, catchUpWaitMs), askedAt)) {
             this.watchesUntilMs = this.readNowMs() + watchForMs;
         }
     }
 
     /** Asks any node of the failure domain, since the store may turn away only some nodes. */
     private async queryAnyPeer(state: FleetState): Promise<void> {
+        const askedAt = state.proof.readNow();
         const hosts = state.ranking.listOthers();
         const host = hosts[Math.floor(this.options.sampleRandom() * hosts.length)];
         const changes = host === undefined
             ? undefined
             : await this.options.client.queryChanges(host, state.createQuery(0));
         if (changes && !this.isStopped) {
-            state.applyChanges(changes, host!);
+            state.applyChanges(changes, host!, askedAt);
         }
     }
 
     private async watchStore(state: FleetState): Promise<void> {
         const { serial } = state.view;
+        const askedAt = state.proof.readNow();
         const waitMs = state.isReadingStore ? storeWaitMs : catchUpWaitMs;
         const reading = await this.readStore(state, waitMs);
-        const isSuccess = this.applyReading(state, reading);
+        const isSuccess = this.applyReading(state, reading, askedAt);
         if (this.isStopped || reading.kind === "history-lost" && this.failureCount === 1) {
             return;
         }
@@ -235,11 +268,11 @@
             : reader.watch(view.position, waitMs);
     }
 
-    private applyReading(state: FleetState, reading: StoreReading): boolean {
+    private applyReading(state: FleetState, reading: StoreReading, askedAt: Instant): boolean {
         if (this.isStopped) {
             return false;
         }
-        const isSuccess = state.applyReading(reading);
+        const isSuccess = state.applyReading(reading, askedAt);
         this.failureCount = isSuccess ? 0 : this.failureCount + 1;
         return isSuccess;
     }
--- a/src/relay/fleet/types.ts
+++ b/src/relay/fleet/types.ts
@@ -37,12 +37,19 @@
     | { readonly kind: "history-lost"; }
     | { readonly kind: "failed"; readonly detail: string; };
 
+/** Result of reading the routing table alone. */
+export type TableReading =
+    | { readonly kind: "table"; readonly table: RoutingTable; }
+    | { readonly kind: "failed"; readonly detail: string; };
+
 /** Reads the store of the platform. Its queries never reject. */
 export interface StoreReader {
     /** Reads everything. With `allowStale` the result may be seconds old, and is cheap for the store. */
     readAll(options: { readonly allowStale: boolean; }): Promise<StoreReading>;
     /** Waits up to `waitMs` milliseconds for changes since a position. */
     watch(position: StorePosition, waitMs: number): Promise<StoreReading>;
+    /** Reads the routing table that was the newest at the time of the call or later. */
+    readTable(): Promise<TableReading>;
     close(): void;
 }
 
@@ -69,10 +76,25 @@
     readonly isCurrent: boolean;
     /** Time that upstreams still have to renew their entries after an outage of the store, in milliseconds. */
     readonly renewalLeftMs?: number;
+    /** Age of the node's proof of its table, less the time for which it held the query, in ms; undefined without one. */
+    readonly tableAgeMs?: number | undefined;
+    /** Version of the node's routing table, 0 if it has none. */
+    readonly version?: number;
+}
+
+/** What a node answers about its routing table. */
+export interface TableAnswer {
+    readonly version: number;
+    /** Age of the node's proof, in milliseconds; undefined without one. */
+    readonly tableAgeMs: number | undefined;
+    /** The table, if its version is higher than the asking node's. */
+    readonly table: RoutingTable | undefined;
 }
 
 /** Asks other nodes for changes; resolves to undefined if a node doesn't answer in time. */
 export interface ChangesClient {
     queryChanges(host: string, query: ChangesQuery): Promise<FleetChanges | undefined>;
+    /** Asks a node for its routing table if that is newer than `version`, and for its proof. */
+    queryTable(host: string, version: number): Promise<TableAnswer | undefined>;
     close(): void;
 }
--- a/src/relay/hop/headers.ts
+++ b/src/relay/hop/headers.ts
@@ -30,7 +30,9 @@
 }
 
 const requestFieldCount = 10;
-const answerFieldCount = 10;
+const answerFieldCount = 11;
+/** Age that is sent for a table of unknown age, in milliseconds; every bound on ages is lower. */
+const unknownAgeMs = 1e9;
 const nestedCallRefusedCode = "ran-refused-below";
 const notRunPrefix = "not-run:";
 
@@ -152,6 +154,7 @@
         report.directShare.toFixed(2),
         report.nestedCalls,
         report.version,
+        Math.ceil(Math.min(unknownAgeMs, report.tableAgeMs)),
     ].join(" ");
 
 /** Parses the fields of an answer; returns undefined if they are missing or invalid. */
@@ -165,8 +168,18 @@
     if (!numbers || numbers.some(number => number < 0)) {
         return undefined;
     }
-    const [congestion, inFlight, queued, limit, meanServiceMs, leaving, directShare, nestedCalls, version] =
-        numbers as number[];
+    const [
+        congestion,
+        inFlight,
+        queued,
+        limit,
+        meanServiceMs,
+        leaving,
+        directShare,
+        nestedCalls,
+        version,
+        tableAgeMs,
+    ] = numbers as number[];
     return {
         outcome: parseOutcome(outcomeCode!),
         report: {
@@ -179,6 +192,7 @@
             directShare: directShare!,
             nestedCalls: nestedCalls!,
             version: version!,
+            tableAgeMs: tableAgeMs! >= unknownAgeMs ? Infinity : tableAgeMs!,
         },
     };
 };
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -3,7 +3,7 @@
 import { type Logger } from "pino";
 import { createRandom } from "../_lib/createRandom";
 import { relayTimerTickMs } from "../constants";
-import { type RoutingTable, type UpstreamRecord } from "../routing/types";
+import { type RoutingTable } from "../routing/types";
 import { HttpCallRequest } from "../tasks/_lib/callRequest";
 import { type Clock, systemClock } from "../tasks/_lib/clock";
 import { TimerWheel } from "../tasks/_lib/timerWheel";
@@ -15,15 +15,16 @@
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
 import { awaitDrained } from "./awaitDrained";
-import { ConnectionPool } from "./connectionPool";
 import { createControlHandler } from "./control";
 import { Entry, type SendHop } from "./entry";
-import { type ListOrigin } from "./fleet/types";
 import { Ingress } from "./ingress";
 import { emptyHopStats, type HopStats } from "./ingress/servedHop";
+import { KnownUpstreams } from "./knownUpstreams";
+import { LocalConnections } from "./localConnections";
 import { LocalUpstream } from "./localUpstream";
 import { EventLog } from "./log";
 import { RelayMetrics } from "./metrics";
+import { CallerKeys } from "./organisations/callerKeys";
 import { PauseGuard } from "./pauseGuard";
 import { Peers } from "./peers";
 import { PoisonGuard } from "./poisonGuard";
@@ -32,10 +33,11 @@
 import { Shedding } from "./shedding";
 import { SlotQueue } from "./slotQueue";
 import { type FleetSource } from "./source";
+import { createSourceListener } from "./sourceListener";
 import { Stopping } from "./stopping";
 import { type HeaderNames, type HopRequest, type LoadReport, type RelaySettings } from "./types";
 import { UpstreamDirectory } from "./upstreamDirectory";
-import { createListOrigin, UpstreamListLog } from "./upstreamListLog";
+import { createListOrigin } from "./upstreamListLog";
 import { ViewSync } from "./viewSync";
 
 /** The node process that runs next to one upstream. */
@@ -43,8 +45,9 @@
     private readonly wheel: TimerWheel;
     private readonly log: EventLog;
     private readonly routing: ActiveRouting;
+    private readonly callerKeys: CallerKeys;
     private readonly directory: UpstreamDirectory;
-    private readonly upstreamListLog: UpstreamListLog;
+    private readonly knownUpstreams: KnownUpstreams;
     private readonly shedding: Shedding;
     private readonly activeRequests: ActiveRequests;
     private readonly retryBudgets: RetryBudgets;
@@ -56,7 +59,7 @@
     private readonly poisonGuard: PoisonGuard;
     private readonly viewSync: ViewSync;
     private readonly pauseGuard: PauseGuard;
-    private upstreamPool: ConnectionPool;
+    private readonly upstreamConnections: LocalConnections;
     private listeners: RelayListeners | undefined;
     private readonly localUpstream: LocalUpstream;
     private hasSourceRecords = false;
@@ -75,8 +78,8 @@
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings;
         this.wheel = new TimerWheel(clock, relayTimerTickMs);
         this.log = new EventLog(logger, readNowMs);
-        this.upstreamListLog = new UpstreamListLog(this.log);
-        this.routing = new ActiveRouting(sampleRandom, (table, from) => this.reportAdoption(table, from));
+        this.routing = new ActiveRouting(sampleRandom, (table, from) => this.handleAdoption(table, from));
+        this.callerKeys = new CallerKeys(headerNames, settings.keyBounds, () => source.readTableAgeMs());
         this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
         this.shedding = new Shedding(readNowMs);
         this.activeRequests = new ActiveRequests(headerNames.callSeparator);
@@ -84,7 +87,14 @@
         this.stopping = new Stopping(() => this.settings, readNowMs);
         this.slots = new SlotQueue(this.wheel, readNowMs);
         this.localUpstream = new LocalUpstream({ headerNames, slots: this.slots, log: this.log, readNowMs });
-        this.upstreamPool = new ConnectionPool(settings.upstream, { readNowMs });
+        this.knownUpstreams = new KnownUpstreams({
+            directory: this.directory,
+            retryBudgets: this.retryBudgets,
+            localUpstream: this.localUpstream,
+            log: this.log,
+            readOwnAddress: () => this.settings.upstream,
+        });
+        this.upstreamConnections = new LocalConnections(settings.upstream, readNowMs);
         const readRoutingStats = () => ({ version: this.routing.version, upstreams: this.directory.list().length });
         this.metrics = new RelayMetrics(() => ({ ...this.slots.readStats(), ...readRoutingStats() }));
         this.pauseGuard = new PauseGuard(
@@ -115,6 +125,7 @@
             onControl: createControlHandler({
                 readView: () => ({ table: this.routing.table, upstreams: this.directory.list() }),
                 awaitChanges: query => this.source.awaitChanges(query),
+                describeTable: version => this.source.describeTable(version),
                 receiveSuspect: (fingerprint, node) => this.poisonGuard.receiveSuspect(fingerprint, node),
             }),
             linkDependencies: {
@@ -126,32 +137,22 @@
         });
         this.peers.start();
         this.pauseGuard.start();
-        this.source.start({
-            onRouting: (table, from) => void this.routing.adopt(table, from),
+        this.source.start(createSourceListener({
+            routing: this.routing,
+            log: this.log,
             onUpstreams: (records, origin) => {
                 this.hasSourceRecords = true;
-                this.updateUpstreams(records, origin);
+                this.knownUpstreams.update(records, origin);
             },
-            onReachability: (isReachable, detail) =>
-                this.log.writeAlways(isReachable ? "platform-reached" : "platform-lost", { detail }),
-            onUnreadable: (key, detail) => this.log.writeState("entry-unreadable", { key, detail }),
-            onReadingFrom: (place, reason) => this.log.writeState("fleet-read-from", { place, reason }),
-            onEra: (era, revision) => this.log.writeAlways("platform-restored", { era, revision }),
-            readTable: () => this.routing.table,
-        });
+        }));
     }
 
     /** Applies changed settings. The listeners, the retry budget and the failure domain keep their initial settings. */
     updateSettings(settings: RelaySettings): void {
-        const { upstream: previous } = this.settings;
         this.settings = settings;
-        const isUpstreamMoved = previous.host !== settings.upstream.host || previous.port !== settings.upstream.port;
-        if (isUpstreamMoved) {
-            this.upstreamPool.close();
-            this.upstreamPool = new ConnectionPool(settings.upstream, { readNowMs: this.clock.readMonotonicMs });
-        }
+        const isUpstreamMoved = this.upstreamConnections.updateAddress(settings.upstream);
         this.log.writeAlways("settings-reloaded", { service: settings.service, upstreamMoved: isUpstreamMoved });
-        this.updateUpstreams(this.directory.list(), createListOrigin("settings"));
+        this.knownUpstreams.update(this.directory.list(), createListOrigin("settings"));
     }
 
     /** Stops the node. The upstream gets no new requests; callers are served until they leave or time runs out. */
@@ -173,7 +174,7 @@
         await this.listeners?.close();
         this.peers.stop();
         this.pauseGuard.stop();
-        this.upstreamPool.abort();
+        this.upstreamConnections.abort();
         this.wheel.stop();
     }
 
@@ -186,7 +187,7 @@
                     this.routing.adopt(view.table, host);
                 }
                 if (!this.hasSourceRecords && view.upstreams.length > 0) {
-                    this.updateUpstreams(view.upstreams, createListOrigin(host));
+                    this.knownUpstreams.update(view.upstreams, createListOrigin(host));
                     this.source.receivePeers(view.upstreams);
                 }
             },
@@ -203,7 +204,10 @@
             httpPort: peers.port,
             linkPort: deriveLinkAddress(peers).port,
             readVersion: () => this.routing.version,
-            onVersionSeen: (host, version) => this.viewSync.observe(host, version),
+            onReport: (host, { version, tableAgeMs }, askedAt) => {
+                this.viewSync.observe(host, version);
+                this.source.recordTableEvidence({ version, askedAt, ageMs: tableAgeMs });
+            },
             onUnresponsive: (host, ids) => {
                 ids.forEach(id => this.directory.recordFailure(id));
                 this.log.write("node-silent", { host, upstreams: ids.join(",") });
@@ -214,7 +218,7 @@
     private createIngress(headerNames: HeaderNames): Ingress {
         return new Ingress({
             headerNames,
-            upstream: { dispatch: (options, handler) => this.upstreamPool.dispatch(options, handler) },
+            upstream: this.upstreamConnections,
             slots: this.slots,
             wheel: this.wheel,
             readNowMs: this.clock.readMonotonicMs,
@@ -222,7 +226,7 @@
             isQuarantined: hopRequest => this.poisonGuard.isQuarantined(hopRequest),
             onConnectionLost: (hopRequest, wasSent) => this.poisonGuard.recordConnectionLoss(hopRequest, wasSent),
             onAnswerHead: rawHeaders => this.localUpstream.observeAnswer(rawHeaders),
-            onForeignAnswer: () => this.upstreamPool.recordForeignAnswer(),
+            onForeignAnswer: () => this.upstreamConnections.recordForeignAnswer(),
             onAnswered: hopRequest => this.poisonGuard.recordAnswer(hopRequest),
             activeRequests: this.activeRequests,
             log: this.log,
@@ -239,6 +243,7 @@
             headerNames,
             readService: () => this.settings.service,
             routing: this.routing,
+            callerKeys: this.callerKeys,
             directory: this.directory,
             shedding: this.shedding,
             activeRequests: this.activeRequests,
@@ -273,23 +278,22 @@
         return createLoadReport(this.slots, hopRequest, stats, {
             leaving: this.isLeaving(),
             version: this.routing.version,
+            tableAgeMs: this.source.readTableAgeMs(),
         });
     }
 
-    private updateUpstreams(records: readonly UpstreamRecord[], origin: ListOrigin): void {
-        this.directory.update(records);
-        this.retryBudgets.updateNodeCount(new Set(records.map(({ host }) => host)).size);
-        const { host, port } = this.settings.upstream;
-        const ownRecord = this.directory.findByAddress(host, port);
-        this.localUpstream.update(ownRecord);
-        this.upstreamListLog.write(records, origin, ownRecord?.id);
-    }
-
     private isLeaving(): boolean {
         return this.stopping.hasBegun || this.localUpstream.leaving.isToleranceOver();
     }
 
-    private reportAdoption(table: RoutingTable, from: string): void {
-        this.log.writeAlways("routing-adopted", { version: table.version, routes: table.routes.length, source: from });
+    private handleAdoption(table: RoutingTable, from: string): void {
+        this.callerKeys.adopt(table);
+        const { version, routes, organisations } = table;
+        this.log.writeAlways("routing-adopted", {
+            version,
+            routes: routes.length,
+            organisations: organisations?.length,
+            source: from,
+        });
     }
 }
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -1,12 +1,12 @@
 /** Sends requests to other nodes, and detects nodes that have become unresponsive. */
 import { type Clock } from "../../tasks/_lib/clock";
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
-import { type Address } from "../../types";
+import { type Address, type Instant } from "../../types";
 import { ConnectionPool } from "../connectionPool";
 import { encodeHopRequest } from "../hop/headers";
 import { RemoteHop } from "../hop/remoteHop";
 import { LinkClient } from "../link/linkClient";
-import { type HopHandler, type HopRequest } from "../types";
+import { type HopHandler, type HopRequest, type LoadReport } from "../types";
 
 /** Maximum number of links to one node. Requests are spread over links, so that a lost packet delays only some. */
 const maxLinksPerPeer = 2;
@@ -20,8 +20,8 @@
     /** Port of the link listener for all other requests, the same on all nodes. */
     readonly linkPort: number;
     readonly readVersion: () => number;
-    /** Called with the routing version that the node at a host uses. */
-    readonly onVersionSeen: (host: string, version: number) => void;
+    /** Called with the load report of the node at a host, and with the time before which that node can't have sent it. */
+    readonly onReport: (host: string, report: LoadReport, askedAt: Instant) => void;
     /** Called when a node no longer answers, with the ids of the target upstreams of the requests pending at it. */
     readonly onUnresponsive: (host: string, upstreamIds: readonly string[]) => void;
 }
@@ -77,18 +77,19 @@
     /** Sends a request over HTTP if its body is streamed, else over a link; returns a function that cancels it. */
     send(host: string, hopRequest: HopRequest, handler: HopHandler): CancelHop {
         const peer = this.getPeer(host);
+        const { readMonotonicMs, readWallMs } = this.dependencies.clock;
+        const askedAt: Instant = { monotonicMs: readMonotonicMs(), wallMs: readWallMs() };
         const trackingHandler: HopHandler = {
             openStream: head => handler.openStream(head),
             settle: (result, report) => {
                 peer.activeHops.delete(activeHop);
                 if (report) {
-                    this.dependencies.onVersionSeen(host, report.version);
+                    this.dependencies.onReport(host, report, askedAt);
                 }
                 handler.settle(result, report);
             },
         };
-        const startedAtMs = this.dependencies.clock.readMonotonicMs();
-        const activeHop: ActiveHop = { cancel: () => undefined, hopRequest, startedAtMs };
+        const activeHop: ActiveHop = { cancel: () => undefined, hopRequest, startedAtMs: askedAt.monotonicMs };
         peer.activeHops.add(activeHop);
         const isBuffered = hopRequest.body === undefined || Buffer.isBuffer(hopRequest.body);
         activeHop.cancel = isBuffered
--- a/src/relay/source.ts
+++ b/src/relay/source.ts
@@ -1,6 +1,7 @@
 /** Interface of a source of routing tables and upstream records. */
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
-import { type ChangesQuery, type FleetChanges, type ListOrigin } from "./fleet/types";
+import { type TableEvidence } from "./fleet/tableProof";
+import { type ChangesQuery, type FleetChanges, type ListOrigin, type TableAnswer } from "./fleet/types";
 
 /** Receives the tables and records that a source reads, and its errors. */
 export interface SourceListener {
@@ -26,6 +27,12 @@
     stop(): void;
     /** Waits for changes since the cursor of another node's query. */
     awaitChanges(query: ChangesQuery): Promise<FleetChanges>;
+    /** Answers another node that asks for the routing table and its proof. */
+    describeTable(version: number): TableAnswer;
+    /** Returns the longest time for which the routing table may have been outdated, in ms; Infinity if unknown. */
+    readTableAgeMs(): number;
+    /** Takes in what another node has said of the newest routing table. */
+    recordTableEvidence(evidence: TableEvidence): void;
     /** Takes in records that another node has sent, to find nodes to ask. */
     receivePeers(records: readonly UpstreamRecord[]): void;
 }
--- /dev/null
+++ b/src/relay/sourceListener.ts
@@ -0,0 +1,26 @@
+import { type UpstreamRecord } from "../routing/types";
+import { type ListOrigin } from "./fleet/types";
+import { type EventLog } from "./log";
+import { type ActiveRouting } from "./routing";
+import { type SourceListener } from "./source";
+
+/** Components that the listener updates. */
+export interface SourceListenerDependencies {
+    readonly routing: ActiveRouting;
+    readonly log: EventLog;
+    readonly onUpstreams: (records: readonly UpstreamRecord[], origin: ListOrigin) => void;
+}
+
+/** Creates the listener that applies what a node's source reads, and logs its errors. */
+export const createSourceListener = (
+    { routing, log, onUpstreams }: SourceListenerDependencies,
+): SourceListener => ({
+    onRouting: (table, from) => void routing.adopt(table, from),
+    onUpstreams,
+    onReachability: (isReachable, detail) =>
+        log.writeAlways(isReachable ? "platform-reached" : "platform-lost", { detail }),
+    onUnreadable: (key, detail) => log.writeState("entry-unreadable", { key, detail }),
+    onReadingFrom: (place, reason) => log.writeState("fleet-read-from", { place, reason }),
+    onEra: (era, revision) => log.writeAlways("platform-restored", { era, revision }),
+    readTable: () => routing.table,
+});
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -1,4 +1,5 @@
 /** Types shared by the modules of the relay. */
+import { type KeyAgeBounds } from "../decisions/judgeKey";
 import { type AnswerHead, type AnswerSink } from "../tasks/_lib/answerSink";
 import { type FailureCause } from "../tasks/_lib/attempt";
 import { type RequestBody } from "../tasks/_lib/readBody";
@@ -20,6 +21,12 @@
     readonly rateLimit: string;
     /** Present on answers of an upstream that is leaving. */
     readonly upstreamLeaving: string;
+    /** Header with the caller's key; not forwarded where requests carry keys. */
+    readonly authorization: string;
+    /** Scheme of that header for keys. */
+    readonly keyScheme: string;
+    /** Name of the organisation that holds the caller's key, as upstreams receive it. */
+    readonly organisation: string;
     /** Separates the id of a request from the suffix that an upstream appends for each nested call. */
     readonly callSeparator: string;
 }
@@ -48,6 +55,8 @@
     readonly retrySlack: number;
     /** Window of the retry budget, in milliseconds. */
     readonly retryWindowMs: number;
+    /** Bounds on the age of the routing table by which keys are judged. */
+    readonly keyBounds: KeyAgeBounds;
     /** Maximum time from the stop signal to the end of the process, in milliseconds. */
     readonly stopGraceMs: number;
     /** Time from the stop signal until readiness has shown callers that the node is leaving, in milliseconds. */
@@ -138,4 +147,6 @@
     readonly nestedCalls: number;
     /** Version of the routing table that the node applies, 0 if it has none. */
     readonly version: number;
+    /** Longest time for which that table may have been outdated, in milliseconds; Infinity if unknown. */
+    readonly tableAgeMs: number;
 }
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -8,6 +8,9 @@
 export type ProblemReason =
     | "bad-request"
     | "unknown-caller"
+    | "unknown-key"
+    | "unproven-key"
+    | "orphaned-call"
     | "unknown-route"
     | "unknown-service"
     | "no-policy"
@@ -43,6 +46,9 @@
 const titles: Readonly<Record<ProblemReason, string>> = {
     "bad-request": "The request is not usable",
     "unknown-caller": "The caller is not known",
+    "unknown-key": "The key is not known",
+    "unproven-key": "The instance can't know whether the key is still valid",
+    "orphaned-call": "Nobody waits for the request",
     "unknown-route": "The policy has no such route",
     "unknown-service": "The policy has no such service",
     "no-policy": "No policy is in force yet",
--- a/src/testing/createReport.ts
+++ b/src/testing/createReport.ts
@@ -11,5 +11,6 @@
     leaving: false,
     nestedCalls: 0,
     version: 1,
+    tableAgeMs: 0,
     ...overrides,
 });
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -8,7 +8,7 @@
 } from "node:http";
 import { type AddressInfo, type Socket } from "node:net";
 import pino from "pino";
-import { type FleetChanges } from "../relay/fleet/types";
+import { type FleetChanges, type TableAnswer } from "../relay/fleet/types";
 import { RelayNode } from "../relay/node";
 import { type FleetSource, type SourceListener } from "../relay/source";
 import { type HeaderNames, type RelaySettings } from "../relay/types";
@@ -26,6 +26,9 @@
     notRun: "x-not-run",
     rateLimit: "x-rate-limit",
     upstreamLeaving: "x-leaving",
+    authorization: "authorization",
+    keyScheme: "token",
+    organisation: "x-organisation",
     callSeparator: ".",
 };
 
@@ -44,6 +47,21 @@
         this.listener = undefined;
     }
 
+    /** Age of the table that the source pretends, in milliseconds. */
+    tableAgeMs = 0;
+
+    describeTable(): TableAnswer {
+        return { version: 0, tableAgeMs: undefined, table: undefined };
+    }
+
+    readTableAgeMs(): number {
+        return this.tableAgeMs;
+    }
+
+    recordTableEvidence(): void {
+        // The age of the table is set by the test.
+    }
+
     awaitChanges(): Promise<FleetChanges> {
         return Promise.resolve({ viewId: "", serial: 0, batch: undefined, table: undefined, isCurrent: false });
     }
@@ -120,6 +138,7 @@
     retryRatio: 0.2,
     retrySlack: 47,
     retryWindowMs: 10_000,
+    keyBounds: { maxUseAgeMs: 4_750, maxDenialAgeMs: 2_500 },
     stopGraceMs: 3_000,
     leaveAfterMs: 100,
     logLevel: "silent",
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -18,6 +18,7 @@
 import { UpstreamDirectory } from "../relay/upstreamDirectory";
 import { type Route, type UpstreamRecord } from "../routing/types";
 import { TimerWheel } from "../tasks/_lib/timerWheel";
+import { createCallerKeys } from "./createCallerKeys";
 import { createRoutingTable, createUpstreamRecord } from "./createRoute";
 import { type FakeCallRequest, FakeDispatch } from "./fakeExchange";
 import { testHeaderNames } from "./startRelayFleet";
@@ -102,7 +103,7 @@
             onAnswered: () => undefined,
             readMaxBodyBytes: () => Infinity,
             createReport: (hopRequest, stats) =>
-                createLoadReport(slotQueue, hopRequest, stats, { leaving: false, version: 1 }),
+                createLoadReport(slotQueue, hopRequest, stats, { leaving: false, version: 1, tableAgeMs: 0 }),
             onVersionSeen: () => undefined,
             isLeaving: () => localUpstream.leaving.isToleranceOver(),
             readLeavingMs: () => localUpstream.leaving.readLeavingMs(),
@@ -111,6 +112,7 @@
             ...sharedDependencies,
             readService: () => record.service,
             routing,
+            callerKeys: createCallerKeys(),
             directory: this.directory,
             shedding: new Shedding(readNowMs),
             retryBudgets: this.budgets,
--- a/src/testing/virtualStore.ts
+++ b/src/testing/virtualStore.ts
@@ -1,6 +1,6 @@
 /** Store of the platform on a virtual clock, for tests of nodes that read it. */
 import { type FleetBatch, type StoreReader, type StoreReading } from "../relay/fleet/types";
-import { type RoutingTable, type StorePosition, type UpstreamRecord } from "../routing/types";
+import { type Organisation, type RoutingTable, type StorePosition, type UpstreamRecord } from "../routing/types";
 import { awaitDelay } from "../tasks/_lib/clock";
 import { createRoutingTable } from "./createRoute";
 import { type VirtualClock } from "./virtualClock";
@@ -27,6 +27,8 @@
     staleCallCount = 0;
     /** Whether the store turns a reader away. */
     isTurnedAway: (reader: string) => boolean = () => false;
+    /** Organisations of the routing table; undefined if requests carry no keys. */
+    organisations: readonly Organisation[] | undefined;
     private records = new Map<string, UpstreamRecord>();
     private version = 1;
     private revision = 1;
@@ -77,6 +79,13 @@
                 await awaitDelay(this.clock, answerMs);
                 return this.serveWatch(name, position, this.clock.readMonotonicMs() + waitMs);
             },
+            readTable: async () => {
+                this.countCall(false);
+                await awaitDelay(this.clock, answerMs);
+                return this.isTurnedAway(name)
+                    ? { kind: "failed", detail: "turned away" }
+                    : { kind: "table", table: this.createTable() };
+            },
             close: () => undefined,
         };
     }
@@ -113,8 +122,11 @@
     }
 
     private createReading(batch: FleetBatch): StoreReading {
-        const table: RoutingTable = createRoutingTable(this.version, []);
-        return { kind: "batch", batch, table, unreadable: [] };
+        return { kind: "batch", batch, table: this.createTable(), unreadable: [] };
+    }
+
+    private createTable(): RoutingTable {
+        return createRoutingTable(this.version, [], this.organisations);
     }
 
     private get position(): StorePosition {
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -1,7 +1,6 @@
 /** Nodes that track the fleet over a virtual network, each with an upstream in the virtual store. */
 import { createRandom } from "../_lib/createRandom";
 import { FleetTracker } from "../relay/fleet/fleetTracker";
-import { type FleetChanges } from "../relay/fleet/types";
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
 import { awaitDelay } from "../tasks/_lib/clock";
 import { createUpstreamRecord } from "./createRoute";
@@ -30,6 +29,9 @@
     readonly store = new VirtualStore(this.clock);
     readonly nodes: TrackerNode[] = [];
 
+    /** Whether two nodes are cut off from each other. */
+    isCut: (from: string, to: string) => boolean = () => false;
+
     /** Registers the upstreams of `count` nodes over two failure domains, and starts the nodes. */
     constructor(count: number) {
         const indexes = Array.from({ length: count }, (unused, index) => index);
@@ -56,9 +58,14 @@
             client: {
                 queryChanges: (peer, query) =>
                     Promise.race([
-                        this.forwardQuery(peer, node => node.tracker.awaitChanges(query)),
+                        this.forwardQuery(peer, host, node => node.tracker.awaitChanges(query)),
                         awaitDelay(this.clock, query.waitMs + answerTimeoutMs).then(() => undefined),
                     ]),
+                queryTable: (peer, version) =>
+                    Promise.race([
+                        this.forwardQuery(peer, host, node => Promise.resolve(node.tracker.describeTable(version))),
+                        awaitDelay(this.clock, answerTimeoutMs).then(() => undefined),
+                    ]),
                 close: () => undefined,
             },
             clock: this.clock,
@@ -96,18 +103,19 @@
         this.nodes.forEach(({ tracker }) => tracker.stop());
     }
 
-    private async forwardQuery(
+    private async forwardQuery<Answer>(
         host: string,
-        query: (node: TrackerNode) => Promise<FleetChanges>,
-    ): Promise<FleetChanges | undefined> {
+        from: string,
+        query: (node: TrackerNode) => Promise<Answer>,
+    ): Promise<Answer | undefined> {
         await awaitDelay(this.clock, hopMs);
         const node = this.nodes.find(candidate => candidate.host === host);
-        if (!node || node.isSilent) {
+        if (!node || node.isSilent || this.isCut(from, host)) {
             return new Promise(() => undefined);
         }
-        const changes = await query(node);
+        const answer = await query(node);
         await awaitDelay(this.clock, hopMs);
         // Answers cross the network as text.
-        return node.isSilent ? new Promise(() => undefined) : JSON.parse(JSON.stringify(changes)) as FleetChanges;
+        return node.isSilent ? new Promise(() => undefined) : JSON.parse(JSON.stringify(answer)) as Answer;
     }
 }
--- a/src/types.ts
+++ b/src/types.ts
@@ -12,6 +12,13 @@
     readonly port: number;
 }
 
+/** A moment on both clocks of this process. */
+export interface Instant {
+    readonly monotonicMs: number;
+    /** Milliseconds since 1970. */
+    readonly wallMs: number;
+}
+
 /** A fault found in an input. */
 export interface Fault {
     /** JSON path within the input, "$" for its root. */
