Keep quotas of organisations by shares that nodes lend to one of them

Change: the bound is split over the failure domains, which the settings list, so that domains need not hear of each other. Within a domain each node owns an equal share and lends it to one node at a time for 1.5 s after that node's own stamp; the first reachable one by rendezvous hash grants tokens for the shares it has been lent. Two holders at once, cuts and restarts of a holder therefore count no share twice. A node without the holder keeps its share. Beyond the quota the answer is 429 with the time until the next token; if the holder can't be asked, 503 as not run. The entry takes a token before admission, and gives it back when the request is shed.

--- /dev/null
+++ b/src/decisions/shareLedger/index.ts
@@ -0,0 +1,104 @@
+import { type QuotaPart } from "../splitQuota";
+
+interface Loan {
+    readonly share: number;
+    readonly endsAtMs: number;
+}
+
+interface Pool {
+    part: QuotaPart;
+    tokens: number;
+    /** Values of the ledger's sums up to which the pool has received its tokens. */
+    shareMs: number;
+    startedShares: number;
+}
+
+/**
+ * Tokens of a failure domain's quotas, on one of its nodes. Each node of the domain owns an equal share of all quotas and
+ * lends it to one node at a time for a limited time, or keeps it. A ledger grants the tokens that accrue to the shares it
+ * has been lent. Since no share is lent twice, all ledgers together grant no more than one with all shares would.
+ */
+export class ShareLedger {
+    private readonly loans = new Map<string, Loan>();
+    private readonly pools = new Map<string, Pool>();
+    private share = 0;
+    /** Integral of the lent share over time, in milliseconds. */
+    private shareMs = 0;
+    /** Sum of the shares whose owners have lent them for the first time since their start. */
+    private startedShares = 0;
+    private updatedAtMs = 0;
+
+    /** Sum of the shares that the ledger has been lent, 0 to 1. */
+    readShare(nowMs: number): number {
+        this.update(nowMs);
+        return this.share;
+    }
+
+    /** Takes a loan or extends it. `isFirst` tells that the owner has just started and has lent its share to nobody yet. */
+    addLoan(owner: string, { share, endsAtMs, isFirst }: Loan & { readonly isFirst: boolean; }, nowMs: number): void {
+        this.update(nowMs);
+        if (endsAtMs <= nowMs || !(share > 0) || share > 1) {
+            return;
+        }
+        this.loans.set(owner, { share, endsAtMs });
+        this.startedShares += isFirst ? share : 0;
+        this.updateShare();
+    }
+
+    /** Takes up to `count` tokens of an organisation; returns how many. */
+    take(organisation: string, part: QuotaPart, count: number, nowMs: number): number {
+        const pool = this.updatePool(organisation, part, nowMs);
+        const taken = Math.min(Math.floor(pool.tokens), count);
+        pool.tokens -= taken;
+        return taken;
+    }
+
+    /** Computes the time until an organisation has a token, in milliseconds; Infinity if none accrue. */
+    computeWaitMs(organisation: string, part: QuotaPart, nowMs: number): number {
+        const { tokens } = this.updatePool(organisation, part, nowMs);
+        return tokens >= 1 ? 0 : (1 - tokens) / (part.ratePerMs * this.share);
+    }
+
+    private updatePool(organisation: string, part: QuotaPart, nowMs: number): Pool {
+        this.update(nowMs);
+        const pool = this.pools.get(organisation) ?? { part, tokens: 0, shareMs: 0, startedShares: 0 };
+        this.pools.set(organisation, pool);
+        this.updateTokens(pool);
+        pool.part = part;
+        pool.tokens = Math.min(pool.tokens, part.burst * this.share);
+        return pool;
+    }
+
+    private updateTokens(pool: Pool): void {
+        const accrued = pool.part.ratePerMs * (this.shareMs - pool.shareMs)
+            + pool.part.initial * (this.startedShares - pool.startedShares);
+        pool.tokens = Math.min(pool.tokens + accrued, pool.part.burst * this.share);
+        pool.shareMs = this.shareMs;
+        pool.startedShares = this.startedShares;
+    }
+
+    /** Ends the loans that are over, in order. The tokens saved up for their shares are lost with them. */
+    private update(nowMs: number): void {
+        const ended = [...this.loans].filter(([, { endsAtMs }]) => endsAtMs <= nowMs)
+            .sort(([, first], [, second]) => first.endsAtMs - second.endsAtMs);
+        ended.forEach(([owner, { endsAtMs }]) => {
+            this.updateSums(endsAtMs);
+            this.loans.delete(owner);
+            this.updateShare();
+        });
+        this.updateSums(nowMs);
+    }
+
+    private updateSums(untilMs: number): void {
+        this.shareMs += this.share * Math.max(0, untilMs - this.updatedAtMs);
+        this.updatedAtMs = Math.max(this.updatedAtMs, untilMs);
+    }
+
+    private updateShare(): void {
+        const previous = this.share;
+        this.share = [...this.loans.values()].reduce((sum, { share }) => sum + share, 0);
+        if (this.share < previous) {
+            this.pools.forEach(pool => this.updateTokens(pool));
+        }
+    }
+}
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -1,6 +1,6 @@
 /** Handles one request at the entry, from its arrival to its answer. */
 import { computeNestedRank } from "../../decisions/computeNestedRank";
-import { type Organisation, type Route } from "../../routing/types";
+import { type Route } from "../../routing/types";
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
 import { findHeader } from "../../tasks/_lib/headers";
@@ -10,19 +10,18 @@
 import { type ActiveRequest } from "../activeRequests";
 import { sendBufferedAnswer } from "../ingress";
 import { type LogFields } from "../log";
+import { CallerOrganisation } from "./callerOrganisation";
 import { CallStream } from "./callStream";
 import { type EntryCallDependencies } from "./index";
 import {
     describeBodyError,
     describeDeadlineExceeded,
     describeHopFailure,
-    describeKeyProblem,
     describeNoUpstream,
     describeShed,
     describeUnknownRoute,
     leavingProblem,
     noRoutingProblem,
-    orphanedCallProblem,
 } from "./problems";
 import { RequestSender, type SendHandler, type SendResult } from "./requestSender";
 
@@ -39,8 +38,7 @@
     /** The request that the local upstream was serving when it sent this nested one; undefined for a direct request. */
     private readonly parent: ActiveRequest | undefined;
     private route: Route | undefined;
-    /** Organisation that the request belongs to; undefined without keys, for public routes and for nested requests. */
-    private organisation: Organisation | undefined;
+    private readonly caller: CallerOrganisation;
     private deadlineAtMs = 0;
     private sender: RequestSender | undefined;
     private isComplete = false;
@@ -55,6 +53,7 @@
     ) {
         this.startedAtMs = dependencies.readNowMs();
         this.requestId = findHeader(request.rawHeaders, dependencies.headerNames.requestId) ?? "";
+        this.caller = new CallerOrganisation(dependencies.organisations);
         this.parent = dependencies.activeRequests.findParent(this.requestId);
     }
 
@@ -70,6 +69,28 @@
         const allowedMs = this.deadlineAtMs - this.startedAtMs;
         this.deadlineTimeout = wheel.add(allowedMs + expiryMarginMs, () => this.expire());
         this.request.onEarlyClose(() => this.cancel());
+        this.caller.takeToken(tokenProblem => {
+            if (this.isComplete) {
+                this.caller.releaseToken();
+            }
+            else if (tokenProblem) {
+                this.refuse(tokenProblem);
+            }
+            else {
+                this.tryAdmit();
+            }
+        });
+    }
+
+    /** Sheds the request, or reads its body and sends it. */
+    private tryAdmit(): void {
+        const { routing, shedding, sampleRandom } = this.dependencies;
+        const { name, targetLatencyMs } = this.route!;
+        if (!this.parent && !shedding.tryAdmit(name, this.caller.readRank(this.route!), this.identity)) {
+            this.caller.releaseToken();
+            this.refuse(describeShed(shedding.readAdmissionProbability(name), targetLatencyMs, sampleRandom()));
+            return;
+        }
         const maxBytes = routing.limits?.maxBodyBytes ?? 0;
         this.request.readBody({ buffered: false, maxBytes }, result => {
             if (this.isComplete) {
@@ -113,7 +134,7 @@
             request: this.requestId,
             route: this.route?.name ?? "none",
             version: this.dependencies.routing.version,
-            organisation: this.organisation?.name,
+            organisation: this.caller.name,
             nested: this.parent !== undefined,
             ...fields,
         });
@@ -121,7 +142,7 @@
 
     /** Returns a problem if the request must be refused before its body is read. Also sets `deadlineAtMs`. */
     private findProblem(host: string): Problem | undefined {
-        const { routing, shedding, readStaleMs, computeTimeLeftMs, sampleRandom } = this.dependencies;
+        const { routing, headerNames, readStaleMs, computeTimeLeftMs } = this.dependencies;
         const { route } = this;
         if (!routing.table) {
             return noRoutingProblem;
@@ -129,7 +150,8 @@
         if (!route) {
             return describeUnknownRoute(host, routing.version);
         }
-        const keyProblem = this.identifyOrganisation(route);
+        const hasParentId = this.requestId.includes(headerNames.callSeparator);
+        const keyProblem = this.parent ? undefined : this.caller.identify(this.request, route, hasParentId);
         if (keyProblem) {
             return keyProblem;
         }
@@ -140,39 +162,21 @@
         if (!this.parent && this.deadlineAtMs - this.startedAtMs > computeTimeLeftMs()) {
             return leavingProblem;
         }
-        if (this.parent || shedding.tryAdmit(route.name, this.rank, host + this.request.url)) {
-            return undefined;
-        }
-        return describeShed(shedding.readAdmissionProbability(route.name), route.targetLatencyMs, sampleRandom());
-    }
-
-    /** Sets the organisation of a direct request; returns a problem if it is not known. */
-    private identifyOrganisation({ isPublic }: Route): Problem | undefined {
-        const { callerKeys, headerNames } = this.dependencies;
-        if (this.parent) {
-            return undefined;
-        }
-        const identity = callerKeys.identify(this.request.rawHeaders, isPublic);
-        if (identity.kind === "accepted") {
-            this.organisation = identity.organisation;
-            return undefined;
-        }
-        return identity.kind === "missing" && this.requestId.includes(headerNames.callSeparator)
-            ? orphanedCallProblem
-            : describeKeyProblem(identity);
+        return undefined;
     }
 
-    /** Rank of the request as a direct one. */
-    private get rank(): number {
-        return this.organisation?.rank ?? this.route!.rank;
+    /** Identity by which a request that was shed is recognized when it returns. */
+    private get identity(): string {
+        return (findHeader(this.request.rawHeaders, "host") ?? "") + this.request.url;
     }
 
     /** Creates the headers that upstreams receive; the key is not among them, but the name of its organisation is. */
     private createHeaders(body: RequestBody): string[] {
-        const { callerKeys, replacedHeaders, replacedHeadersAndKey, headerNames } = this.dependencies;
-        const removedNames = callerKeys.isRequired ? replacedHeadersAndKey : replacedHeaders;
+        const { organisations, replacedHeaders, replacedHeadersAndKey, headerNames } = this.dependencies;
+        const { name } = this.caller;
+        const removedNames = organisations.keys.isRequired ? replacedHeadersAndKey : replacedHeaders;
         const rawHeaders = createForwardHeaders(this.request, body, removedNames);
-        return this.organisation ? [...rawHeaders, headerNames.organisation, this.organisation.name] : rawHeaders;
+        return name === undefined ? rawHeaders : [...rawHeaders, headerNames.organisation, name];
     }
 
     private parseDeadlineMs(): number {
@@ -197,7 +201,9 @@
             callerService: readService(),
             idempotent: route.idempotent,
             nested: parent !== undefined,
-            rank: parent ? computeNestedRank(parent.rank, parent.succeededNestedCalls) : this.rank,
+            rank: parent
+                ? computeNestedRank(parent.rank, parent.succeededNestedCalls)
+                : this.caller.readRank(this.route!),
             targetLatencyMs: route.targetLatencyMs,
             deadlineAtMs: this.deadlineAtMs,
         };
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -7,7 +7,7 @@
 import { type ActiveRequests } from "../activeRequests";
 import { type EventLog } from "../log";
 import { type RelayMetrics } from "../metrics";
-import { type CallerKeys } from "../organisations/callerKeys";
+import { type Organisations } from "../organisations";
 import { type ActiveRouting } from "../routing";
 import { type Shedding } from "../shedding";
 import { type HeaderNames, type HopHandler, type HopRequest } from "../types";
@@ -26,7 +26,7 @@
     /** Returns the service of this instance, which upstreams receive as the caller service. */
     readonly readService: () => string;
     readonly routing: ActiveRouting;
-    readonly callerKeys: CallerKeys;
+    readonly organisations: Organisations;
     readonly directory: UpstreamDirectory;
     readonly shedding: Shedding;
     readonly activeRequests: ActiveRequests;
--- a/src/relay/entry/problems.ts
+++ b/src/relay/entry/problems.ts
@@ -3,9 +3,12 @@
 import { computeRetryAfterMs } from "../../decisions/computeRetryAfterMs";
 import { type Problem } from "../../tasks/_lib/problem";
 import { type KeyIdentity } from "../organisations/callerKeys";
+import { type QuotaVerdict } from "../organisations/heldTokens";
 import { type HopResult } from "../types";
 
 const retryAfterDecimals = 2;
+/** Shortest delay that a caller beyond its quota is told, in milliseconds. */
+const minQuotaRetryMs = 50;
 
 const formatSeconds = (delayMs: number): number => Number((delayMs / msPerSecond).toFixed(retryAfterDecimals));
 
@@ -64,6 +67,24 @@
     detail: "the request that this one belongs to has ended",
 };
 
+/** Describes a request that its organisation's quota doesn't admit, or that can't be judged by it. */
+export const describeQuotaProblem = (verdict: Exclude<QuotaVerdict, { readonly kind: "granted"; }>): Problem =>
+    verdict.kind === "exceeded"
+        ? {
+            status: 429,
+            reason: "quota-exceeded",
+            outcome: "not-run",
+            detail: "the organisation has sent more requests than its quota allows",
+            retryAfterSeconds: formatSeconds(Math.max(minQuotaRetryMs, verdict.waitMs)),
+        }
+        : {
+            status: 503,
+            reason: "quota-unsure",
+            outcome: "not-run",
+            detail: "the node that holds the tokens of the failure domain doesn't answer",
+            retryAfterSeconds: 0.3,
+        };
+
 /** Describes a direct request that is shed because the services on its path report congestion. */
 export const describeShed = (admissionProbability: number, targetLatencyMs: number, random: number): Problem => ({
     status: 503,
--- a/src/relay/entry/requestSender.test.ts
+++ b/src/relay/entry/requestSender.test.ts
@@ -1,7 +1,7 @@
 import pino from "pino";
 import { relayTimerTickMs } from "../../constants";
 import { TimerWheel } from "../../tasks/_lib/timerWheel";
-import { createCallerKeys } from "../../testing/createCallerKeys";
+import { createOrganisations } from "../../testing/createOrganisations";
 import { createRoute, createRoutingTable, createUpstreamRecord } from "../../testing/createRoute";
 import { emptySlotStats } from "../../testing/emptySlotStats";
 import { testHeaderNames } from "../../testing/startRelayFleet";
@@ -59,7 +59,7 @@
         writeLog: () => undefined,
     }, {
         headerNames: testHeaderNames,
-        callerKeys: createCallerKeys(),
+        organisations: createOrganisations(clock),
         readService: () => "gate",
         routing,
         directory,
--- a/src/relay/link/frames.ts
+++ b/src/relay/link/frames.ts
@@ -14,6 +14,8 @@
     resume: 8,
     ping: 9,
     pong: 10,
+    tokenQuery: 11,
+    tokenAnswer: 12,
 } as const;
 
 /** A frame: its kind, the id of its request on the connection, and fields that depend on the kind. */
--- a/src/relay/link/fuzz.test.ts
+++ b/src/relay/link/fuzz.test.ts
@@ -90,6 +90,7 @@
             },
             computeDeadline: remainingMs => remainingMs,
             onVersionSeen: version => expect(version).toBeDefined(),
+            serveTokens: () => ({ ticketMs: 0, incarnation: "", grants: [] }),
             createStreamReport: () => createReport(),
         });
         await fc.assert(
--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -3,10 +3,12 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type Address } from "../../types";
 import { type HopAnswerFields, parseHopAnswer } from "../hop/headers";
+import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
 import { type HopHandler, type HopRequest, type HopResult } from "../types";
 import { type Frame, frameKinds } from "./frames";
 import { FrameSocket } from "./frameSocket";
 import { parseAnswerHead } from "./parseMessages";
+import { parseTokenAnswer } from "./parseTokens";
 
 /** Timeout for opening a connection, in milliseconds. Allows several round trips between failure domains. */
 const connectTimeoutMs = 400;
@@ -37,6 +39,9 @@
     private readonly socket: Socket;
     private readonly frames: FrameSocket;
     private readonly pendingRequests = new Map<number, PendingRequest>();
+    private readonly pendingQueries = new Map<number, (answer: TokenAnswer | undefined) => void>();
+    /** Queries that wait for the connection to open. */
+    private readonly unsentQueries: Frame[] = [];
     private lastId = 0;
     private isConnected = false;
     private isClosed = false;
@@ -49,6 +54,7 @@
             clearTimeout(timer);
             this.isConnected = true;
             this.dependencies.onActivity();
+            this.unsentQueries.splice(0).forEach(frame => this.frames.write(frame));
             this.pendingRequests.forEach((pending, id) => this.sendRequestFrame(id, pending));
         });
         this.frames = new FrameSocket(this.socket, {
@@ -84,6 +90,18 @@
         return cause => this.cancel(id, cause);
     }
 
+    /** Sends a token query; calls back once, with undefined if the connection closes first. */
+    queryTokens(query: TokenQuery, onAnswer: (answer: TokenAnswer | undefined) => void): void {
+        this.lastId += 1;
+        this.pendingQueries.set(this.lastId, onAnswer);
+        const frame: Frame = [frameKinds.tokenQuery, this.lastId, query];
+        if (this.isConnected) {
+            this.frames.write(frame);
+            return;
+        }
+        this.unsentQueries.push(frame);
+    }
+
     /** Sends a ping if the connection is open; its reply triggers `onActivity`, as any frame does. */
     sendPing(): void {
         if (this.isConnected) {
@@ -129,6 +147,12 @@
 
     private receive([kind, id, ...fields]: Frame): void {
         this.dependencies.onActivity();
+        if (kind === frameKinds.tokenAnswer) {
+            const handle = this.pendingQueries.get(id);
+            this.pendingQueries.delete(id);
+            handle?.(parseTokenAnswer(fields[0]));
+            return;
+        }
         const pending = this.pendingRequests.get(id);
         if (!pending) {
             return;
@@ -201,6 +225,9 @@
         }
         this.isClosed = true;
         this.dependencies.onClosed();
+        const unansweredQueries = [...this.pendingQueries.values()];
+        this.pendingQueries.clear();
+        unansweredQueries.forEach(handle => handle(undefined));
         const unfinishedRequests = [...this.pendingRequests.values()];
         this.pendingRequests.clear();
         unfinishedRequests.forEach(({ isSent, handler, sink }) => {
--- a/src/relay/link/linkServer.ts
+++ b/src/relay/link/linkServer.ts
@@ -9,10 +9,12 @@
     type HopRequestFields,
     parseHopRequest,
 } from "../hop/headers";
+import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport } from "../types";
 import { type Frame, frameKinds } from "./frames";
 import { FrameSocket } from "./frameSocket";
 import { parseRequestMessage, type RequestMessage } from "./parseMessages";
+import { parseTokenQuery } from "./parseTokens";
 
 /** Functions through which links pass requests to the local node. */
 export interface LinkServerDependencies {
@@ -22,6 +24,8 @@
     readonly computeDeadline: (remainingMs: number) => number;
     /** Called with the routing version that the node at a host uses. */
     readonly onVersionSeen: (host: string, version: number) => void;
+    /** Answers a token query of the node at a host. */
+    readonly serveTokens: (host: string, query: TokenQuery) => TokenAnswer;
     /** Creates the load report that is sent with the head of a streamed answer. */
     readonly createStreamReport: (hopRequest: HopRequest) => LoadReport;
 }
@@ -78,11 +82,23 @@
             case frameKinds.resume:
                 served?.stream?.startSource();
                 return;
+            case frameKinds.tokenQuery:
+                this.serveTokens(id, fields[0]);
+                return;
             case frameKinds.ping:
                 this.frames.write([frameKinds.pong, id]);
         }
     }
 
+    private serveTokens(id: number, value: unknown): void {
+        const query = parseTokenQuery(value);
+        if (!query) {
+            this.frames.abort();
+            return;
+        }
+        this.frames.write([frameKinds.tokenAnswer, id, this.dependencies.serveTokens(this.host, query)]);
+    }
+
     private serve(id: number, [encodedRequest, ...messageFields]: readonly unknown[]): void {
         const fields = typeof encodedRequest === "string" ? parseHopRequest(encodedRequest) : undefined;
         const message = parseRequestMessage(messageFields);
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -24,7 +24,7 @@
 import { LocalUpstream } from "./localUpstream";
 import { EventLog } from "./log";
 import { RelayMetrics } from "./metrics";
-import { CallerKeys } from "./organisations/callerKeys";
+import { Organisations } from "./organisations";
 import { PauseGuard } from "./pauseGuard";
 import { Peers } from "./peers";
 import { PoisonGuard } from "./poisonGuard";
@@ -45,7 +45,7 @@
     private readonly wheel: TimerWheel;
     private readonly log: EventLog;
     private readonly routing: ActiveRouting;
-    private readonly callerKeys: CallerKeys;
+    private readonly organisations: Organisations;
     private readonly directory: UpstreamDirectory;
     private readonly knownUpstreams: KnownUpstreams;
     private readonly shedding: Shedding;
@@ -62,7 +62,6 @@
     private readonly upstreamConnections: LocalConnections;
     private listeners: RelayListeners | undefined;
     private readonly localUpstream: LocalUpstream;
-    private hasSourceRecords = false;
     private readonly stopping: Stopping;
     private lastEntryAtMs = 0;
 
@@ -73,13 +72,19 @@
         logger: Logger,
         private readonly clock: Clock = systemClock,
     ) {
-        const readNowMs = clock.readMonotonicMs;
+        const { readMonotonicMs: readNowMs } = clock;
         const sampleRandom = createRandom(process.pid ^ clock.readWallMs());
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings;
         this.wheel = new TimerWheel(clock, relayTimerTickMs);
         this.log = new EventLog(logger, readNowMs);
         this.routing = new ActiveRouting(sampleRandom, (table, from) => this.handleAdoption(table, from));
-        this.callerKeys = new CallerKeys(headerNames, settings.keyBounds, () => source.readTableAgeMs());
+        this.organisations = new Organisations(settings, {
+            keyNames: headerNames,
+            readTableAgeMs: () => source.readTableAgeMs(),
+            clock,
+            queryTokens: (host, query, onAnswer) => this.peers.queryTokens(host, query, onAnswer),
+            onHolder: (host, reason) => this.log.writeState("quota-holder-changed", { host, reason }),
+        });
         this.directory = new UpstreamDirectory(settings.failureDomain, readNowMs);
         this.shedding = new Shedding(readNowMs);
         this.activeRequests = new ActiveRequests(headerNames.callSeparator);
@@ -91,16 +96,14 @@
             directory: this.directory,
             retryBudgets: this.retryBudgets,
             localUpstream: this.localUpstream,
+            organisations: this.organisations,
             log: this.log,
             readOwnAddress: () => this.settings.upstream,
         });
         this.upstreamConnections = new LocalConnections(settings.upstream, readNowMs);
         const readRoutingStats = () => ({ version: this.routing.version, upstreams: this.directory.list().length });
         this.metrics = new RelayMetrics(() => ({ ...this.slots.readStats(), ...readRoutingStats() }));
-        this.pauseGuard = new PauseGuard(
-            clock,
-            pauseMs => this.log.writeAlways("process-paused", { pauseMs: Math.round(pauseMs) }),
-        );
+        this.pauseGuard = new PauseGuard(clock, this.log);
         this.poisonGuard = new PoisonGuard(settings.node, clock, {
             log: this.log,
             listControlAddresses: () => listControlAddresses(this.directory.list(), this.settings),
@@ -130,20 +133,19 @@
             }),
             linkDependencies: {
                 serve: (hopRequest, handler) => this.ingress.serve(hopRequest, handler),
+                serveTokens: (host, query) => this.organisations.tokens.serve(host, query),
                 computeDeadline: remainingMs => this.ingress.computeDeadline(remainingMs),
                 onVersionSeen: (host, version) => this.viewSync.observe(host, version),
                 createStreamReport: hopRequest => this.createReport(hopRequest, emptyHopStats),
             },
         });
         this.peers.start();
+        this.organisations.tokens.start();
         this.pauseGuard.start();
         this.source.start(createSourceListener({
             routing: this.routing,
             log: this.log,
-            onUpstreams: (records, origin) => {
-                this.hasSourceRecords = true;
-                this.knownUpstreams.update(records, origin);
-            },
+            onUpstreams: (records, origin) => this.knownUpstreams.updateFromSource(records, origin),
         }));
     }
 
@@ -173,6 +175,7 @@
         this.stopping.beginClosing();
         await this.listeners?.close();
         this.peers.stop();
+        this.organisations.tokens.stop();
         this.pauseGuard.stop();
         this.upstreamConnections.abort();
         this.wheel.stop();
@@ -186,8 +189,7 @@
                 if (view.table) {
                     this.routing.adopt(view.table, host);
                 }
-                if (!this.hasSourceRecords && view.upstreams.length > 0) {
-                    this.knownUpstreams.update(view.upstreams, createListOrigin(host));
+                if (this.knownUpstreams.tryUpdateFromNode(view.upstreams, host)) {
                     this.source.receivePeers(view.upstreams);
                 }
             },
@@ -243,7 +245,7 @@
             headerNames,
             readService: () => this.settings.service,
             routing: this.routing,
-            callerKeys: this.callerKeys,
+            organisations: this.organisations,
             directory: this.directory,
             shedding: this.shedding,
             activeRequests: this.activeRequests,
@@ -287,13 +289,9 @@
     }
 
     private handleAdoption(table: RoutingTable, from: string): void {
-        this.callerKeys.adopt(table);
-        const { version, routes, organisations } = table;
-        this.log.writeAlways("routing-adopted", {
-            version,
-            routes: routes.length,
-            organisations: organisations?.length,
-            source: from,
-        });
+        this.organisations.adopt(table);
+        const { version, routes, organisations = [] } = table;
+        const counts = { routes: routes.length, organisations: organisations.length };
+        this.log.writeAlways("routing-adopted", { version, ...counts, source: from });
     }
 }
--- a/src/relay/organisations/entry.test.ts
+++ b/src/relay/organisations/entry.test.ts
@@ -131,3 +131,38 @@
         expect(listReceived()).toHaveLength(2);
     });
 });
+
+describe("an organisation with a quota", () => {
+    const limited = [{ ...organisations[0]!, quota: { ratePerSecond: 1, burst: 0 } }, organisations[1]!];
+    /** Highest number of requests in 5 s: the limit with its overshoot and slack. */
+    const maxRequests = (1 * 5) * 1.25 + 20;
+
+    it("is refused with 429 beyond it, over all nodes together, and others are served meanwhile", async () => {
+        fleet.publish(createRoutingTable(2, routes, limited));
+        await awaitUntil(async () => (await sendKey("Token key-1")).status === 200);
+        const startedAtMs = performance.now();
+        const answers = await Promise.all(
+            Array.from({ length: 80 }, (unused, index) =>
+                sendToEntry(fleet.members[index % 2]!, {
+                    id: `r-${index}`,
+                    headers: { authorization: "Token key-2" },
+                })),
+        );
+        const elapsedMs = performance.now() - startedAtMs;
+        const count = (status: number): number => answers.filter(answer => answer.status === status).length;
+        expect(count(200) + 1).toBeLessThanOrEqual(maxRequests + elapsedMs / 1_000);
+        expect(count(429)).toBeGreaterThan(0);
+        expect(count(200) + count(429)).toBe(80);
+        answers.filter(({ status }) => status === 429).forEach(({ headers }) =>
+            expect(Number(headers["retry-after"])).toBeGreaterThan(0)
+        );
+        expect(await sendKey("Token key-3")).toMatchObject({ status: 200 });
+    });
+
+    it("is no longer limited when a version ends its quota", async () => {
+        fleet.publish(createRoutingTable(2, routes, limited));
+        fleet.publish(createRoutingTable(3, routes, organisations));
+        const answers = await Promise.all(Array.from({ length: 60 }, () => sendKey("Token key-1")));
+        expect(answers.every(({ status }) => status === 200)).toBe(true);
+    });
+});
--- a/src/relay/pauseGuard.ts
+++ b/src/relay/pauseGuard.ts
@@ -1,6 +1,7 @@
 /** Detects pauses of the process, after which requests may have waited unread in the sockets. */
 import { type Clock } from "../tasks/_lib/clock";
 import { GapDetector } from "../tasks/_lib/gapDetector";
+import { type EventLog } from "./log";
 
 /** Interval of the ticks that detect pauses while no requests are read, in milliseconds; under half of `minPauseMs`. */
 const tickMs = 100;
@@ -15,14 +16,14 @@
     private resumedAtMs = -Infinity;
     private pauseMs = 0;
 
-    constructor(clock: Clock, onPause: (pauseMs: number) => void) {
+    constructor(clock: Clock, log: EventLog) {
         this.gapDetector = new GapDetector(clock, {
             intervalMs: tickMs,
             thresholdMs: minPauseMs,
             onGap: (gapMs, resumedAtMs) => {
                 this.pauseMs = gapMs;
                 this.resumedAtMs = resumedAtMs;
-                onPause(gapMs);
+                log.writeAlways("process-paused", { pauseMs: Math.round(gapMs) });
             },
         });
     }
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -6,6 +6,7 @@
 import { encodeHopRequest } from "../hop/headers";
 import { RemoteHop } from "../hop/remoteHop";
 import { LinkClient } from "../link/linkClient";
+import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
 import { type HopHandler, type HopRequest, type LoadReport } from "../types";
 
 /** Maximum number of links to one node. Requests are spread over links, so that a lost packet delays only some. */
@@ -32,6 +33,8 @@
 const pingAfterMs = 500;
 /** Timeout of a ping, in milliseconds. Allows several round trips between failure domains. */
 const pingTimeoutMs = 400;
+/** Timeout of a token query, in milliseconds; requests wait for its answer. */
+const tokenTimeoutMs = 300;
 /** Time by which the deadline sent to another node is earlier, so that its answer arrives in time, in milliseconds. */
 const answerReturnMarginMs = 3;
 /** Time without requests or data after which the connections to a node are closed, in milliseconds. */
@@ -98,6 +101,20 @@
         return cause => activeHop.cancel(cause);
     }
 
+    /** Sends a token query to a node; calls back once, with undefined if no answer comes in time. */
+    queryTokens(host: string, query: TokenQuery, onAnswer: (answer: TokenAnswer | undefined) => void): void {
+        let isAnswered = false;
+        const settle = (answer: TokenAnswer | undefined): void => {
+            if (!isAnswered) {
+                isAnswered = true;
+                this.dependencies.wheel.remove(timeout);
+                onAnswer(answer);
+            }
+        };
+        const timeout = this.dependencies.wheel.add(tokenTimeoutMs, () => settle(undefined));
+        this.chooseLink(host, this.getPeer(host)).queryTokens(query, settle);
+    }
+
     private sendOverHttp(peer: Peer, hopRequest: HopRequest, handler: HopHandler): CancelHop {
         const hop = new RemoteHop(hopRequest, handler, {
             pool: peer.pool,
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -1,5 +1,6 @@
 /** Types shared by the modules of the relay. */
 import { type KeyAgeBounds } from "../decisions/judgeKey";
+import { type QuotaBounds } from "../decisions/splitQuota";
 import { type AnswerHead, type AnswerSink } from "../tasks/_lib/answerSink";
 import { type FailureCause } from "../tasks/_lib/attempt";
 import { type RequestBody } from "../tasks/_lib/readBody";
@@ -55,6 +56,10 @@
     readonly retrySlack: number;
     /** Window of the retry budget, in milliseconds. */
     readonly retryWindowMs: number;
+    /** Bounds on the requests of organisations within their quotas. */
+    readonly quotaBounds: QuotaBounds;
+    /** Number of failure domains. */
+    readonly failureDomains: number;
     /** Bounds on the age of the routing table by which keys are judged. */
     readonly keyBounds: KeyAgeBounds;
     /** Maximum time from the stop signal to the end of the process, in milliseconds. */
--- a/src/tasks/_lib/problem.ts
+++ b/src/tasks/_lib/problem.ts
@@ -11,6 +11,8 @@
     | "unknown-key"
     | "unproven-key"
     | "orphaned-call"
+    | "quota-exceeded"
+    | "quota-unsure"
     | "unknown-route"
     | "unknown-service"
     | "no-policy"
@@ -48,6 +50,8 @@
     "unknown-caller": "The caller is not known",
     "unknown-key": "The key is not known",
     "unproven-key": "The instance can't know whether the key is still valid",
+    "quota-exceeded": "The organisation has sent more requests than its quota allows",
+    "quota-unsure": "The instance can't know whether the organisation is within its quota",
     "orphaned-call": "Nobody waits for the request",
     "unknown-route": "The policy has no such route",
     "unknown-service": "The policy has no such service",
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -123,7 +123,13 @@
         server.listen(0, host, () => resolve((server.address() as AddressInfo).port));
     });
 
-const createSettings = (host: string, service: string, upstreamPort: number, firstPort: number): RelaySettings => ({
+/** Creates the settings of a test node, with ports from `firstPort` upwards. */
+export const createTestSettings = (
+    host: string,
+    service: string,
+    upstreamPort: number,
+    firstPort: number,
+): RelaySettings => ({
     node: `node-${host}`,
     host,
     service,
@@ -138,6 +144,8 @@
     retryRatio: 0.2,
     retrySlack: 47,
     retryWindowMs: 10_000,
+    failureDomains: 1,
+    quotaBounds: { windowMs: 5_000, overshoot: 0.25, slack: 20 },
     keyBounds: { maxUseAgeMs: 4_750, maxDenialAgeMs: 2_500 },
     stopGraceMs: 3_000,
     leaveAfterMs: 100,
@@ -172,7 +180,7 @@
             memberSockets.clear();
             setTimeout(() => isStopped || server.listen(upstreamPort, host), downMs);
         };
-        const settings = createSettings(host, service, upstreamPort, firstPort!);
+        const settings = createTestSettings(host, service, upstreamPort, firstPort!);
         const source = new FakeSource();
         const node = new RelayNode(settings, testHeaderNames, source, pino({ level: "silent" }));
         await node.start();
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -18,7 +18,7 @@
 import { UpstreamDirectory } from "../relay/upstreamDirectory";
 import { type Route, type UpstreamRecord } from "../routing/types";
 import { TimerWheel } from "../tasks/_lib/timerWheel";
-import { createCallerKeys } from "./createCallerKeys";
+import { createOrganisations } from "./createOrganisations";
 import { createRoutingTable, createUpstreamRecord } from "./createRoute";
 import { type FakeCallRequest, FakeDispatch } from "./fakeExchange";
 import { testHeaderNames } from "./startRelayFleet";
@@ -112,7 +112,7 @@
             ...sharedDependencies,
             readService: () => record.service,
             routing,
-            callerKeys: createCallerKeys(),
+            organisations: createOrganisations(clock),
             directory: this.directory,
             shedding: new Shedding(readNowMs),
             retryBudgets: this.budgets,
