Hold the lent shares of quotas for the whole fleet on one node, and rank hosts only when they change

Ruled out: the fallback (no quota-holder-changed after the start on the logged node). Change: shares are parts of the whole quota, the holder is the first node of the fleet, and the first of the own domain while that one doesn't answer; fleets of more than 128 nodes keep one holder in each domain. The bound is the same, since it follows from the shares alone.

--- a/src/decisions/shareLedger/index.ts
+++ b/src/decisions/shareLedger/index.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * Tokens of a failure domain's quotas, on one of its nodes. Each node of the domain owns an equal share of all quotas and
- * lends it to one node at a time for a limited time, or keeps it. A ledger grants the tokens that accrue to the shares it
+ * Tokens of the quotas, on one node. Each node of the fleet owns an equal share of all quotas and lends it to one node at a
+ * time for a limited time, or keeps it. A ledger grants the tokens that accrue to the shares it
  * has been lent. Since no share is lent twice, all ledgers together grant no more than one with all shares would.
  */
 export class ShareLedger {
--- a/src/decisions/shareLedger/test.ts
+++ b/src/decisions/shareLedger/test.ts
@@ -1,5 +1,5 @@
 /**
- * Load pattern: an organisation that sends far more than its quota at all nodes of a failure domain, while nodes restart,
+ * Load pattern: an organisation that sends far more than its quota at all nodes, while nodes restart,
  * pause, are cut off and follow different holders. Guards against shares that are counted twice.
  */
 import fc from "fast-check";
@@ -118,9 +118,9 @@
 
 describe("shares that nodes lend", () => {
     it.each([[1.6, 2], [16, 16], [132, 40]])(
-        "grant no more than the part of the domain in any window (%d requests/s, burst %d)",
+        "grant no more than the tokens of the quota in any window (%d requests/s, burst %d)",
         (ratePerSecond, burst) => {
-            const part = splitQuota({ ratePerSecond, burst }, 3, bounds);
+            const part = splitQuota({ ratePerSecond, burst }, bounds);
             const most = part.ratePerMs * bounds.windowMs + part.burst + part.initial;
             fc.assert(
                 fc.property(fc.array(step, { maxLength: 120 }), steps => {
@@ -144,7 +144,7 @@
     );
 
     it("let in all that lies within the quota while all nodes lend to one", () => {
-        const part = splitQuota({ ratePerSecond: 16, burst: 16 }, 1, bounds);
+        const part = splitQuota({ ratePerSecond: 16, burst: 16 }, bounds);
         const ledger = new ShareLedger();
         let taken = 0;
         for (let nowMs = 0; nowMs <= 20_000; nowMs += 50) {
--- a/src/decisions/splitQuota/index.ts
+++ b/src/decisions/splitQuota/index.ts
@@ -10,12 +10,12 @@
     readonly slack: number;
 }
 
-/** Tokens of an organisation in one failure domain. */
+/** Tokens of an organisation for all nodes together; each node owns an equal share of them. */
 export interface QuotaPart {
     readonly ratePerMs: number;
     /** Tokens that may be saved up. */
     readonly burst: number;
-    /** Tokens available when all nodes of the domain have just started. */
+    /** Tokens available when all nodes have just started. */
     readonly initial: number;
 }
 
@@ -28,15 +28,14 @@
 const initialShare = 0.25;
 
 /**
- * Computes the part of a quota that each failure domain holds by itself. The parts of all domains together stay within
- * the bound in any window, also after one restart of all nodes, so that domains need not hear of each other. What the
- * bound allows beyond the limit makes up for organisations whose requests come unevenly over the domains.
+ * Computes the tokens of a quota. They stay within the bound in any window, also after one restart of all nodes. What the
+ * bound allows beyond the limit makes up for shares that are held apart, or by nodes that don't answer.
  */
-export const splitQuota = ({ ratePerSecond, burst }: Quota, domains: number, bounds: QuotaBounds): QuotaPart => {
+export const splitQuota = ({ ratePerSecond, burst }: Quota, bounds: QuotaBounds): QuotaPart => {
     const windowRequests = ratePerSecond * bounds.windowMs / msPerSecond + burst;
-    const bound = (windowRequests * (1 + bounds.overshoot) + bounds.slack) / (listMargin * domains);
+    const bound = (windowRequests * (1 + bounds.overshoot) + bounds.slack) / listMargin;
     const usableMs = bounds.windowMs + tokenTtlMs;
-    const ratePerMs = Math.min(ratePerSecond / msPerSecond / domains, bound / usableMs);
+    const ratePerMs = Math.min(ratePerSecond / msPerSecond, bound / usableMs);
     const rest = bound - ratePerMs * usableMs;
     return {
         ratePerMs: ratePerMs + extraRateShare * rest / usableMs,
--- a/src/relay/entry/problems.ts
+++ b/src/relay/entry/problems.ts
@@ -81,7 +81,7 @@
             status: 503,
             reason: "quota-unsure",
             outcome: "not-run",
-            detail: "the node that holds the tokens of the failure domain doesn't answer",
+            detail: "the node that holds the tokens doesn't answer",
             retryAfterSeconds: 0.3,
         };
 
--- a/src/relay/fleet/peerRanking.ts
+++ b/src/relay/fleet/peerRanking.ts
@@ -1,6 +1,6 @@
 /** Ranks the nodes of a failure domain, and chooses those that watch the store and those to ask. */
-import { computeWatcherRanking } from "../../decisions/computeWatcherRanking";
 import { type UpstreamRecord } from "../../routing/types";
+import { CachedRanking } from "../_lib/cachedRanking";
 
 /** Number of nodes of a failure domain that watch the store. */
 const watchersPerDomain = 2;
@@ -15,10 +15,13 @@
 
 /** Ranking of the ready nodes in the failure domain, without those that lately did not answer. */
 export class PeerRanking {
+    private readonly ranking: CachedRanking;
     private rankedHosts: readonly string[] = [];
     private readonly suspectedUntilMs = new Map<string, number>();
 
-    constructor(private readonly place: RankingPlace, private readonly readNowMs: () => number) {}
+    constructor(private readonly place: RankingPlace, private readonly readNowMs: () => number) {
+        this.ranking = new CachedRanking(place.failureDomain);
+    }
 
     /** Whether another node is known. */
     get hasPeers(): boolean {
@@ -35,7 +38,7 @@
         const hosts = records
             .filter(record => record.failureDomain === failureDomain && record.state !== "draining")
             .map(({ host }) => host);
-        this.rankedHosts = computeWatcherRanking(failureDomain, hosts);
+        this.rankedHosts = this.ranking.update(hosts);
     }
 
     /** Whether this node is one of those that watch the store for the others. */
--- a/src/relay/organisations/index.ts
+++ b/src/relay/organisations/index.ts
@@ -18,14 +18,13 @@
     readonly tokens: QuotaTokens;
 
     constructor(settings: RelaySettings, { keyNames, readTableAgeMs, ...dependencies }: OrganisationsDependencies) {
-        const { host, failureDomain, failureDomains, quotaBounds, keyBounds } = settings;
+        const { host, failureDomain, quotaBounds, keyBounds } = settings;
         this.keys = new CallerKeys(keyNames, keyBounds, readTableAgeMs);
         this.tokens = new QuotaTokens({
             ...dependencies,
             incarnation: randomUUID(),
             host,
             failureDomain,
-            domains: failureDomains,
             bounds: quotaBounds,
         });
     }
--- a/src/relay/organisations/quotaTokens.ts
+++ b/src/relay/organisations/quotaTokens.ts
@@ -1,9 +1,9 @@
-/** Lets requests of an organisation in within its quota, with tokens of the node that holds the domain's shares. */
-import { computeWatcherRanking } from "../../decisions/computeWatcherRanking";
+/** Lets requests of an organisation in within its quota, with tokens of the node that holds the shares of the others. */
 import { ShareLedger } from "../../decisions/shareLedger";
 import { type QuotaBounds, splitQuota } from "../../decisions/splitQuota";
 import { type Organisation, type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { type Clock } from "../../tasks/_lib/clock";
+import { CachedRanking } from "../_lib/cachedRanking";
 import { HeldTokens, type QuotaVerdict } from "./heldTokens";
 
 /** Tokens that a node asks another one for, and its loan to that node. */
@@ -11,7 +11,7 @@
     /** Stamp of the answering node's clock from its latest answer, and its incarnation; the loan ends a time after it. */
     readonly ticketMs: number;
     readonly incarnation: string;
-    /** Share of the domain's quotas that the asking node lends. */
+    /** Share of all quotas that the asking node lends. */
     readonly share: number;
     /** Whether the asking node lends its share for the first time since its start. */
     readonly isFirst: boolean;
@@ -33,8 +33,6 @@
 export interface QuotaTokensDependencies {
     readonly host: string;
     readonly failureDomain: string;
-    /** Number of failure domains. */
-    readonly domains: number;
     readonly bounds: QuotaBounds;
     readonly incarnation: string;
     readonly clock: Clock;
@@ -50,6 +48,8 @@
 
 /** Time for which a share is lent after the ticket that the loan refers to, in milliseconds. */
 const loanMs = 1_500;
+/** Number of nodes up to which one holder serves all of them; a larger fleet has one in each failure domain. */
+const maxPooledNodes = 128;
 /** Interval of the loans while no tokens are needed, in milliseconds. */
 const renewalMs = 500;
 /** Time for which a node that didn't answer isn't asked, in milliseconds. */
@@ -61,11 +61,17 @@
 /** Takes the place of the time until there is a token. */
 const unknownQuotaMs = -1;
 
-/** Takes tokens from the ledger of the domain's holder, which is one of its nodes; serves other nodes that take them here. */
+/**
+ * Takes tokens from the ledger of the holder, a node that the others lend their shares to, and serves other nodes here. The
+ * holder is the first of the fleet, or of the failure domain while that one doesn't answer, as when the domain is cut off.
+ */
 export class QuotaTokens {
     private readonly ledger = new ShareLedger();
     private readonly organisations = new Map<string, HeldTokens>();
-    private rankedHosts: readonly string[] = [];
+    private readonly fleetRanking = new CachedRanking("quotas");
+    private readonly domainRanking: CachedRanking;
+    private domainHosts: readonly string[] = [];
+    private fleetHolder: string | undefined;
     private readonly suspectedUntilMs = new Map<string, number>();
     private nodeCounts: readonly { readonly count: number; readonly atMs: number; }[] = [];
     private holder = "";
@@ -76,7 +82,9 @@
     private hasQuotas = false;
     private stopRenewal: (() => void) | undefined;
 
-    constructor(private readonly dependencies: QuotaTokensDependencies) {}
+    constructor(private readonly dependencies: QuotaTokensDependencies) {
+        this.domainRanking = new CachedRanking(`${dependencies.failureDomain}/quotas`);
+    }
 
     start(): void {
         this.stopRenewal = this.dependencies.clock.startInterval(renewalMs, () => {
@@ -91,7 +99,7 @@
     }
 
     adopt({ organisations = [] }: RoutingTable): void {
-        const { domains, bounds } = this.dependencies;
+        const { bounds } = this.dependencies;
         const limited = organisations.filter(({ quota }) => quota);
         const names = new Set(limited.map(({ name }) => name));
         [...this.organisations.keys()].filter(name => !names.has(name)).forEach(name => {
@@ -99,7 +107,7 @@
             this.organisations.delete(name);
         });
         limited.forEach(({ name, quota }) => {
-            const part = splitQuota(quota!, domains, bounds);
+            const part = splitQuota(quota!, bounds);
             const known = this.organisations.get(name);
             known?.updatePart(part);
             this.organisations.set(name, known ?? new HeldTokens(part));
@@ -109,11 +117,17 @@
 
     updateNodes(records: readonly UpstreamRecord[]): void {
         const { failureDomain } = this.dependencies;
-        const hosts = records.filter(record => record.failureDomain === failureDomain).map(({ host }) => host);
-        this.rankedHosts = computeWatcherRanking(`${failureDomain}/quotas`, hosts);
+        const ready = records.filter(({ state }) => state === "ready");
+        const listHosts = (listed: readonly UpstreamRecord[]): readonly string[] => listed.map(({ host }) => host);
+        const inDomain = ready.filter(record => record.failureDomain === failureDomain);
+        this.domainHosts = this.domainRanking.update(listHosts(inDomain));
+        const nodeCount = new Set(listHosts(records)).size;
+        this.fleetHolder = nodeCount > maxPooledNodes ? undefined : this.fleetRanking.update(listHosts(ready))[0];
         const atMs = this.readNowMs();
         const recent = this.nodeCounts.filter(entry => atMs - entry.atMs < countRetentionMs);
-        this.nodeCounts = [...recent, { count: this.rankedHosts.length, atMs }];
+        // The former number was in force until now.
+        const former = this.nodeCounts.slice(-1).map(({ count }) => ({ count, atMs }));
+        this.nodeCounts = [...recent, ...former, { count: nodeCount, atMs }];
     }
 
     /** Takes a token for a request, and calls back at once or when the holder has answered. */
@@ -215,7 +229,7 @@
             return;
         }
         if (host !== this.ticket.host) {
-            this.dependencies.onHolder(host, "first of the ranking");
+            this.dependencies.onHolder(host, "first of the ranking that answers");
         }
         this.ticket = { host, ticketMs: answer.ticketMs, incarnation: answer.incarnation, receivedAtMs: nowMs };
         wanting.forEach(([, tokens], index) => tokens.applyGrant(answer.grants[index] ?? [0, unknownQuotaMs], nowMs));
@@ -227,12 +241,14 @@
     private chooseHolder(): string {
         const nowMs = this.readNowMs();
         const isUsable = (host: string): boolean => (this.suspectedUntilMs.get(host) ?? -Infinity) <= nowMs;
-        return this.rankedHosts.find(isUsable) ?? this.dependencies.host;
+        const ranking = this.fleetHolder === undefined ? this.domainHosts : [this.fleetHolder, ...this.domainHosts];
+        return ranking.find(isUsable) ?? this.dependencies.host;
     }
 
     private countNodes(nowMs: number): number {
+        const latest = this.nodeCounts[this.nodeCounts.length - 1]?.count ?? 1;
         const recent = this.nodeCounts.filter(({ atMs }) => nowMs - atMs < countRetentionMs);
-        return Math.max(1, this.rankedHosts.length, ...recent.map(({ count }) => count));
+        return Math.max(1, latest, ...recent.map(({ count }) => count));
     }
 
     private readNowMs(): number {
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -58,8 +58,6 @@
     readonly retryWindowMs: number;
     /** Bounds on the requests of organisations within their quotas. */
     readonly quotaBounds: QuotaBounds;
-    /** Number of failure domains. */
-    readonly failureDomains: number;
     /** Bounds on the age of the routing table by which keys are judged. */
     readonly keyBounds: KeyAgeBounds;
     /** Maximum time from the stop signal to the end of the process, in milliseconds. */
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -144,7 +144,6 @@
     retryRatio: 0.2,
     retrySlack: 47,
     retryWindowMs: 10_000,
-    failureDomains: 1,
     quotaBounds: { windowMs: 5_000, overshoot: 0.25, slack: 20 },
     keyBounds: { maxUseAgeMs: 4_750, maxDenialAgeMs: 2_500 },
     stopGraceMs: 3_000,
