--- a/src/decisions/shareLedger/index.ts
+++ b/src/decisions/shareLedger/index.ts
@@ -27,6 +27,8 @@
     /** Sum of the shares whose owners have lent them for the first time since their start. */
     private startedShares = 0;
     private updatedAtMs = 0;
+    /** Time before which no loan ends; loans that are extended meanwhile end later. */
+    private nextEndMs = Infinity;
 
     /** Sum of the shares that the ledger has been lent, 0 to 1. */
     readShare(nowMs: number): number {
@@ -41,6 +43,7 @@
             return;
         }
         this.loans.set(owner, { share, endsAtMs });
+        this.nextEndMs = Math.min(this.nextEndMs, endsAtMs);
         this.startedShares += isFirst ? share : 0;
         this.updateShare();
     }
@@ -77,8 +80,15 @@
         pool.startedShares = this.startedShares;
     }
 
-    /** Ends the loans that are over, in order. The tokens saved up for their shares are lost with them. */
     private update(nowMs: number): void {
+        if (nowMs >= this.nextEndMs) {
+            this.endLoans(nowMs);
+        }
+        this.updateSums(nowMs);
+    }
+
+    /** Ends the loans that are over, in order. The tokens saved up for their shares are lost with them. */
+    private endLoans(nowMs: number): void {
         const ended = [...this.loans].filter(([, { endsAtMs }]) => endsAtMs <= nowMs)
             .sort(([, first], [, second]) => first.endsAtMs - second.endsAtMs);
         ended.forEach(([owner, { endsAtMs }]) => {
@@ -86,7 +96,7 @@
             this.loans.delete(owner);
             this.updateShare();
         });
-        this.updateSums(nowMs);
+        this.nextEndMs = Math.min(...[...this.loans.values()].map(({ endsAtMs }) => endsAtMs));
     }
 
     private updateSums(untilMs: number): void {
