Give back only tokens that were granted, and refuse as unsure while shares are held apart

A request that was cancelled while it waited for a token gave one back though none was granted, which would have let more in than the quota allows. And a holder that has been lent few of the shares, after a change of holder or in a cut, answered 429 though the lack of tokens wasn't the organisation's excess. Change: the request's organisation knows whether it has a token; below 0.8 of the shares the answer is 503 as not run.

--- a/src/relay/entry/callerOrganisation.ts
+++ b/src/relay/entry/callerOrganisation.ts
@@ -7,6 +7,7 @@
 /** Organisation of one request, and the token that the request holds of its quota. */
 export class CallerOrganisation {
     private organisation: Organisation | undefined;
+    private hasToken = false;
 
     constructor(private readonly organisations: Organisations) {}
 
@@ -41,13 +42,17 @@
         }
         this.organisations.tokens.take(
             this.organisation,
-            verdict => onTaken(verdict.kind === "granted" ? undefined : describeQuotaProblem(verdict)),
+            verdict => {
+                this.hasToken = verdict.kind === "granted";
+                onTaken(verdict.kind === "granted" ? undefined : describeQuotaProblem(verdict));
+            },
         );
     }
 
-    /** Gives back the token of a request that is not sent to an upstream. */
+    /** Gives back the token of a request that is not sent to an upstream, if the request has one. */
     releaseToken(): void {
-        if (this.organisation) {
+        if (this.organisation && this.hasToken) {
+            this.hasToken = false;
             this.organisations.tokens.release(this.organisation);
         }
     }
--- a/src/relay/organisations/quotaTokens.ts
+++ b/src/relay/organisations/quotaTokens.ts
@@ -24,7 +24,7 @@
     readonly incarnation: string;
     /**
      * For each wanted organisation the number of tokens, and the time until there is one, in milliseconds; a negative
-     * time if the answering node knows no quota of it.
+     * time if the answering node can't know whether the quota is exceeded.
      */
     readonly grants: readonly (readonly [count: number, waitMs: number])[];
 }
@@ -58,6 +58,8 @@
 const countRetentionMs = 10_000;
 /** Longest time that a refusal is repeated without asking again, in milliseconds. */
 const maxRefusalMs = 500;
+/** Share below which a lack of tokens may come from shares that others hold, and not from too many requests. */
+const minKnownShare = 0.8;
 /** Takes the place of the time until there is a token. */
 const unknownQuotaMs = -1;
 
@@ -170,6 +172,9 @@
             return [0, unknownQuotaMs];
         }
         const taken = this.ledger.take(name, part, count, nowMs);
+        if (taken < count && this.ledger.readShare(nowMs) < minKnownShare) {
+            return [taken, unknownQuotaMs];
+        }
         return [taken, taken > 0 ? 0 : Math.min(maxRefusalMs, this.ledger.computeWaitMs(name, part, nowMs))];
     }
 
