--- a/src/relay/incarnations.test.ts
+++ b/src/relay/incarnations.test.ts
@@ -74,6 +74,8 @@
             firstAnswers.filter(({ status }) => status === 200).length,
         );
         const secondAnswers = await sendAll("second");
-        expect(secondAnswers.map(({ status }) => status)).toEqual(secondAnswers.map(() => 200));
+        expect(secondAnswers.map(({ status, body }) => `${status} ${body}`)).toEqual(
+            secondAnswers.map(() => "200 whole"),
+        );
     });
 });
