Hand the shares of quotas over without a gap, and let requests wait for a holder that knows

Cause: for 1.5 s after each change of the holder no node held the shares, since a loan had to end before the share was lent again; requests were refused as unsure. It happened at the start of a zone cut, again when the cut holder left the list, and when it came back.

Ruled out: the choice of the holder by itself; the nodes agree within one query.

Change: an owner asks a holder that still answers for its share, and lends it to the next one as soon as that is confirmed; messages carry a serial, so that a late loan doesn't undo a return. A better holder is pinged before the shares move to it, so requests never wait for one that is out of reach.

--- a/src/decisions/shareLedger/index.ts
+++ b/src/decisions/shareLedger/index.ts
@@ -1,8 +1,12 @@
 import { type QuotaPart } from "../splitQuota";
 
-interface Loan {
+/** A loan of a share to a ledger. */
+export interface Loan {
+    /** Part of all quotas, 0 to 1. */
     readonly share: number;
     readonly endsAtMs: number;
+    /** Number of the owner's message; the ledger ignores a message with a lower one than it knows. */
+    readonly serial: number;
 }
 
 interface Pool {
@@ -37,15 +41,29 @@
     }
 
     /** Takes a loan or extends it. `isFirst` tells that the owner has just started and has lent its share to nobody yet. */
-    addLoan(owner: string, { share, endsAtMs, isFirst }: Loan & { readonly isFirst: boolean; }, nowMs: number): void {
+    addLoan(
+        owner: string,
+        { share, endsAtMs, serial, isFirst }: Loan & { readonly isFirst: boolean; },
+        nowMs: number,
+    ): void {
         this.update(nowMs);
-        if (endsAtMs <= nowMs || !(share > 0) || share > 1) {
+        if (endsAtMs <= nowMs || !(share > 0) || share > 1 || !this.isCurrent(owner, serial)) {
             return;
         }
-        this.loans.set(owner, { share, endsAtMs });
-        this.nextEndMs = Math.min(this.nextEndMs, endsAtMs);
+        this.recordLoan(owner, { share, endsAtMs, serial });
         this.startedShares += isFirst ? share : 0;
-        this.updateShare();
+    }
+
+    /** Gives a share back to its owner. Its loans that are still on their way have ended at `forgetAtMs`. */
+    endLoan(
+        owner: string,
+        { serial, forgetAtMs }: { readonly serial: number; readonly forgetAtMs: number; },
+        nowMs: number,
+    ) {
+        this.update(nowMs);
+        if (this.isCurrent(owner, serial)) {
+            this.recordLoan(owner, { share: 0, endsAtMs: forgetAtMs, serial });
+        }
     }
 
     /** Takes up to `count` tokens of an organisation; returns how many. */
@@ -62,6 +80,16 @@
         return tokens >= 1 ? 0 : (1 - tokens) / (part.ratePerMs * this.share);
     }
 
+    private isCurrent(owner: string, serial: number): boolean {
+        return serial >= (this.loans.get(owner)?.serial ?? -Infinity);
+    }
+
+    private recordLoan(owner: string, loan: Loan): void {
+        this.loans.set(owner, loan);
+        this.nextEndMs = Math.min(this.nextEndMs, loan.endsAtMs);
+        this.updateShare();
+    }
+
     private updatePool(organisation: string, part: QuotaPart, nowMs: number): Pool {
         this.update(nowMs);
         const pool = this.pools.get(organisation) ?? { part, tokens: 0, shareMs: 0, startedShares: 0 };
--- a/src/decisions/shareLedger/test.ts
+++ b/src/decisions/shareLedger/test.ts
@@ -3,40 +3,28 @@
  * pause, are cut off and follow different holders. Guards against shares that are counted twice.
  */
 import fc from "fast-check";
+import { loanMs, type LoanTerms, ShareLoans } from "../shareLoans";
 import { splitQuota } from "../splitQuota";
 import { ShareLedger } from ".";
 
 const bounds = { windowMs: 5_000, overshoot: 0.25, slack: 20 };
-const loanMs = 1_500;
 const nodeCount = 5;
 
-interface Ticket {
-    readonly holder: number;
-    readonly incarnation: number;
-    readonly stampMs: number;
-    readonly receivedAtMs: number;
-}
-
-/** A loan under way; it may arrive late or never. */
+/** A message of an owner under way; it may arrive late or never. */
 interface LoanMessage {
     readonly owner: number;
     readonly holder: number;
-    readonly incarnation: number;
-    readonly endsAtMs: number;
-    readonly isFirst: boolean;
+    readonly terms: LoanTerms;
 }
 
-/** Nodes that lend their shares as `QuotaTokens` does, with messages that are delayed, lost or reordered. */
+/** Nodes that lend their shares, with messages that are delayed, lost or reordered. */
 class LoanModel {
     nowMs = 0;
     readonly grantedAtMs: number[] = [];
     private readonly nodes = Array.from({ length: nodeCount }, () => ({
         ledger: new ShareLedger(),
+        loans: new ShareLoans(-loanMs),
         incarnation: 0,
-        tickets: new Map<number, Ticket>(),
-        holder: -1,
-        lentUntilMs: -Infinity,
-        hasLent: false,
     }));
     private readonly messages: LoanMessage[] = [];
 
@@ -44,36 +32,39 @@
 
     /** The holder answers a query, whose answer arrives after a delay. */
     sendTicket(owner: number, holder: number, delayMs: number): void {
-        const { incarnation } = this.nodes[holder]!;
-        const stampMs = this.nowMs;
+        const ticket = { ticketMs: this.nowMs, incarnation: String(this.nodes[holder]!.incarnation) };
         this.nowMs += delayMs;
-        this.nodes[owner]!.tickets.set(holder, { holder, incarnation, stampMs, receivedAtMs: this.nowMs });
+        this.nodes[owner]!.loans.recordTicket(String(holder), ticket, this.nowMs);
     }
 
     addLoan(owner: number, holder: number): void {
-        const node = this.nodes[owner]!;
-        const ticket = node.tickets.get(holder);
-        const isFree = node.holder === holder || this.nowMs >= node.lentUntilMs;
-        if (!ticket || !isFree || ticket.receivedAtMs + loanMs <= this.nowMs) {
+        const terms = this.nodes[owner]!.loans.createLoan(String(holder), 1 / nodeCount, this.nowMs);
+        this.messages.push({ owner, holder, terms });
+    }
+
+    /** An owner asks for its share, and the holder's confirmation arrives after a delay. */
+    removeShare(owner: number, delayMs: number): void {
+        const { loans } = this.nodes[owner]!;
+        const borrower = loans.findBorrower(this.nowMs);
+        if (borrower === undefined) {
             return;
         }
-        this.messages.push({
-            owner,
-            holder,
-            incarnation: ticket.incarnation,
-            endsAtMs: ticket.stampMs + loanMs,
-            isFirst: !node.hasLent,
-        });
-        node.holder = holder;
-        node.lentUntilMs = Math.max(node.lentUntilMs, ticket.receivedAtMs + loanMs);
-        node.hasLent = true;
+        const { serial } = loans.createReclaim();
+        this.nodes[Number(borrower)]!.ledger.endLoan(
+            String(owner),
+            { serial, forgetAtMs: this.nowMs + loanMs },
+            this.nowMs,
+        );
+        this.nowMs += delayMs;
+        loans.recordReturn();
     }
 
     receive(index: number): void {
         const [message] = this.messages.splice(index % Math.max(1, this.messages.length), 1);
         const holder = message && this.nodes[message.holder]!;
-        if (message && holder?.incarnation === message.incarnation) {
-            holder.ledger.addLoan(String(message.owner), { ...message, share: 1 / nodeCount }, this.nowMs);
+        if (message && message.terms.incarnation === String(holder?.incarnation)) {
+            const { owner, terms } = message;
+            holder?.ledger.addLoan(String(owner), { ...terms, endsAtMs: terms.ticketMs + loanMs }, this.nowMs);
         }
     }
 
@@ -82,14 +73,12 @@
         this.grantedAtMs.push(...Array.from({ length: taken }, () => this.nowMs));
     }
 
-    /** Restarts a node, which forgets everything. The loan of its former life may still run, so it keeps its share. */
+    /** Restarts a node, which forgets everything. */
     removeState(owner: number): void {
         const node = this.nodes[owner]!;
         node.ledger = new ShareLedger();
         node.incarnation += 1;
-        node.tickets.clear();
-        node.lentUntilMs = this.nowMs + loanMs;
-        node.holder = -1;
+        node.loans = new ShareLoans(this.nowMs);
     }
 
     /** Returns the highest number of tokens granted in any window. */
@@ -114,6 +103,7 @@
     { weight: 6, arbitrary: fc.record({ kind: fc.constant("take" as const), a: node, b: fc.nat(60), ms: fc.nat(0) }) },
     { weight: 3, arbitrary: fc.record({ kind: fc.constant("wait" as const), a: node, b: node, ms: fc.nat(2_000) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("restart" as const), a: node, b: node, ms: fc.nat(0) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("reclaim" as const), a: node, b: node, ms: fc.nat(50) }) },
 );
 
 describe("shares that nodes lend", () => {
@@ -133,6 +123,7 @@
                             take: () => model.take(a, b),
                             wait: () => void (model.nowMs += ms),
                             restart: () => model.removeState(a),
+                            reclaim: () => model.removeShare(a, ms),
                         };
                         actions[kind]();
                     });
@@ -149,7 +140,8 @@
         let taken = 0;
         for (let nowMs = 0; nowMs <= 20_000; nowMs += 50) {
             for (let owner = 0; owner < 20; owner += 1) {
-                ledger.addLoan(`n-${owner}`, { share: 1 / 20, endsAtMs: nowMs + loanMs, isFirst: nowMs === 0 }, nowMs);
+                const terms = { serial: nowMs, share: 1 / 20, endsAtMs: nowMs + loanMs, isFirst: nowMs === 0 };
+                ledger.addLoan(`n-${owner}`, terms, nowMs);
             }
             taken += nowMs % 100 === 0 ? ledger.take("org-1", part, 1, nowMs) : 0;
         }
@@ -161,9 +153,17 @@
 
     it("ignore loans that are over or of no valid share", () => {
         const ledger = new ShareLedger();
-        ledger.addLoan("n-1", { share: 0.5, endsAtMs: 100, isFirst: true }, 200);
-        ledger.addLoan("n-2", { share: 7, endsAtMs: 900, isFirst: true }, 200);
-        ledger.addLoan("n-3", { share: NaN, endsAtMs: 900, isFirst: true }, 200);
+        ledger.addLoan("n-1", { serial: 1, share: 0.5, endsAtMs: 100, isFirst: true }, 200);
+        ledger.addLoan("n-2", { serial: 1, share: 7, endsAtMs: 900, isFirst: true }, 200);
+        ledger.addLoan("n-3", { serial: 1, share: NaN, endsAtMs: 900, isFirst: true }, 200);
+        expect(ledger.readShare(300)).toBe(0);
+    });
+
+    it("ignore a loan that arrives after its return", () => {
+        const ledger = new ShareLedger();
+        ledger.addLoan("n-1", { serial: 1, share: 0.5, endsAtMs: 900, isFirst: true }, 0);
+        ledger.endLoan("n-1", { serial: 3, forgetAtMs: 1_000 }, 100);
+        ledger.addLoan("n-1", { serial: 2, share: 0.5, endsAtMs: 950, isFirst: false }, 200);
         expect(ledger.readShare(300)).toBe(0);
     });
 });
--- a/src/relay/knownUpstreams.ts
+++ b/src/relay/knownUpstreams.ts
@@ -47,8 +47,9 @@
     update(records: readonly UpstreamRecord[], origin: ListOrigin): void {
         const { directory, retryBudgets, localUpstream, organisations, readOwnAddress } = this.dependencies;
         directory.update(records);
-        retryBudgets.updateNodeCount(new Set(records.map(({ host }) => host)).size);
-        organisations.tokens.updateNodes(records);
+        const nodeCount = new Set(records.map(({ host }) => host)).size;
+        retryBudgets.updateNodeCount(nodeCount);
+        organisations.tokens.updateNodes(records, nodeCount);
         const { host, port } = readOwnAddress();
         const ownRecord = directory.findByAddress(host, port);
         localUpstream.update(ownRecord);
--- a/src/relay/link/fuzz.test.ts
+++ b/src/relay/link/fuzz.test.ts
@@ -90,7 +90,7 @@
             },
             computeDeadline: remainingMs => remainingMs,
             onVersionSeen: version => expect(version).toBeDefined(),
-            serveTokens: () => ({ ticketMs: 0, incarnation: "", grants: [] }),
+            serveTokens: () => ({ ticketMs: 0, incarnation: "", isReturned: false, grants: [] }),
             createStreamReport: () => createReport(),
         });
         await fc.assert(
--- a/src/relay/link/parseTokens.ts
+++ b/src/relay/link/parseTokens.ts
@@ -19,6 +19,7 @@
 
 const isCount = (value: unknown): value is number => isNumber(value) && value >= 0 && value <= maxCount;
 const isName = (value: unknown): value is string => typeof value === "string";
+const isFlag = (value: unknown): value is boolean => typeof value === "boolean";
 const isWant = isPairOf(isName, isCount);
 const isGrant = isPairOf(isCount, isNumber);
 
@@ -27,10 +28,11 @@
     if (!isRecord(value)) {
         return undefined;
     }
-    const { ticketMs, incarnation, share, isFirst, wants } = value;
-    const isValid = isNumber(ticketMs) && isName(incarnation) && isNumber(share) && typeof isFirst === "boolean"
-        && Array.isArray(wants) && wants.every(isWant);
-    return isValid ? { ticketMs, incarnation, share, isFirst, wants } : undefined;
+    const { ticketMs, incarnation, serial = 0, share, isFirst, isReclaim = false, wants } = value;
+    const hasTerms = isNumber(ticketMs) && isName(incarnation) && isNumber(serial) && isNumber(share)
+        && isFlag(isFirst);
+    const isValid = hasTerms && isFlag(isReclaim) && Array.isArray(wants) && wants.every(isWant);
+    return isValid ? { ticketMs, incarnation, serial, share, isFirst, isReclaim, wants } : undefined;
 };
 
 /** Parses the answer to a token query; returns undefined if one of its fields is invalid. */
@@ -38,7 +40,8 @@
     if (!isRecord(value)) {
         return undefined;
     }
-    const { ticketMs, incarnation, grants } = value;
-    const isValid = isNumber(ticketMs) && isName(incarnation) && Array.isArray(grants) && grants.every(isGrant);
-    return isValid ? { ticketMs, incarnation, grants } : undefined;
+    const { ticketMs, incarnation, isReturned = false, grants } = value;
+    const isValid = isNumber(ticketMs) && isName(incarnation) && isFlag(isReturned) && Array.isArray(grants)
+        && grants.every(isGrant);
+    return isValid ? { ticketMs, incarnation, isReturned, grants } : undefined;
 };
--- a/src/relay/organisations/heldTokens.ts
+++ b/src/relay/organisations/heldTokens.ts
@@ -9,18 +9,28 @@
 
 type SettleRequest = (verdict: QuotaVerdict) => void;
 
+interface WaitingRequest {
+    readonly settle: SettleRequest;
+    readonly sinceMs: number;
+}
+
+/** Longest time that a request waits for a node that can tell whether its quota is exceeded, in milliseconds. */
+const maxWaitMs = 800;
+
 /** Time for whose expected requests tokens are taken in advance, in milliseconds. */
 const prefetchMs = 300;
 /** Weight of the latest request in the moving mean of the intervals between an organisation's requests. */
 const intervalWeight = 0.2;
 const maxIntervalMs = 10_000;
 const maxPrefetch = 8;
+/** Highest number of tokens in one query. */
+const maxAsked = 1_000;
 
 /** Gives tokens to requests; expects more of them soon if they come often. */
 export class HeldTokens {
     /** Times until which the tokens may be used, in milliseconds. */
     private readonly expiries: number[] = [];
-    private waiting: SettleRequest[] = [];
+    private waiting: WaitingRequest[] = [];
     /** Numbers of requests and of tokens that the query under way asks for. */
     private asked = { requests: 0, tokens: 0 };
     private refusedUntilMs = -Infinity;
@@ -54,8 +64,8 @@
         return nowMs < this.refusedUntilMs ? { kind: "exceeded", waitMs: this.refusedUntilMs - nowMs } : undefined;
     }
 
-    enqueue(settle: SettleRequest): void {
-        this.waiting.push(settle);
+    enqueue(settle: SettleRequest, nowMs: number): void {
+        this.waiting.push({ settle, sinceMs: nowMs });
     }
 
     /** Takes back the token of a request that was not used. */
@@ -66,27 +76,43 @@
     /** Returns the number of tokens to ask for. */
     beginQuery(): number {
         const expected = Math.min(maxPrefetch, Math.floor(prefetchMs / Math.max(1, this.meanIntervalMs)));
-        this.asked = { requests: this.waiting.length, tokens: this.waiting.length + expected };
+        const requests = Math.min(maxAsked, this.waiting.length);
+        this.asked = { requests, tokens: requests + expected };
         return this.asked.tokens;
     }
 
-    /** Gives granted tokens to waiting requests, refuses those that were asked for in vain, and keeps the rest. */
+    /**
+     * Gives granted tokens to waiting requests, and keeps the rest. Requests that were asked for in vain are refused if the
+     * quota is exceeded; if that can't be known, which a negative `waitMs` tells, they wait on.
+     */
     applyGrant([count, waitMs]: readonly [count: number, waitMs: number], nowMs: number): void {
         const { requests, tokens } = this.asked;
-        const isExhausted = count < tokens;
-        const settled = this.waiting.slice(0, isExhausted ? Math.max(requests, count) : count);
-        this.waiting = this.waiting.slice(settled.length);
-        const refusal: QuotaVerdict = waitMs < 0 ? { kind: "unsure" } : { kind: "exceeded", waitMs };
-        settled.forEach((settle, index) => settle(index < count ? { kind: "granted" } : refusal));
-        this.expiries.push(...Array.from({ length: Math.max(0, count - settled.length) }, () => nowMs + tokenTtlMs));
+        const isExceeded = count < tokens && waitMs >= 0;
+        const restCount = count - this.settleFirst(count, { kind: "granted" });
+        this.expiries.push(...Array.from({ length: restCount }, () => nowMs + tokenTtlMs));
+        if (isExceeded) {
+            this.settleFirst(requests - count, { kind: "exceeded", waitMs });
+        }
         this.refusedUntilMs = count === 0 ? nowMs + waitMs : -Infinity;
     }
 
+    /** Settles the requests that have waited too long for a node that knows their quota. */
+    refuseOverdue(nowMs: number): void {
+        const overdue = this.waiting.filter(({ sinceMs }) => nowMs - sinceMs >= maxWaitMs);
+        this.settleFirst(overdue.length, { kind: "unsure" });
+    }
+
     /** Settles all waiting requests alike. */
     settleAll(verdict: QuotaVerdict): void {
-        const settled = this.waiting;
-        this.waiting = [];
-        settled.forEach(settle => settle(verdict));
+        this.settleFirst(this.waiting.length, verdict);
+    }
+
+    /** Settles up to `count` waiting requests alike; returns how many. */
+    private settleFirst(count: number, verdict: QuotaVerdict): number {
+        const settled = this.waiting.slice(0, Math.max(0, count));
+        this.waiting = this.waiting.slice(settled.length);
+        settled.forEach(({ settle }) => settle(verdict));
+        return settled.length;
     }
 
     private recordRequest(nowMs: number): void {
--- a/src/relay/organisations/quotaTokens.test.ts
+++ b/src/relay/organisations/quotaTokens.test.ts
@@ -12,6 +12,8 @@
 const quota = { ratePerSecond: 64, burst: 64 };
 /** Mean interval between requests of the organisation at one node, for 40 requests/s over all nodes. */
 const intervalMs = domains.length * nodesPerDomain * 1_000 / 40;
+/** Time after the start of a cut until the platform takes the nodes that it doesn't reach off its list. */
+const entryLapseMs = 4_500;
 
 interface QuotaNode {
     readonly host: string;
@@ -36,17 +38,33 @@
                 return { host, domain, tokens: this.createTokens(host, domain) };
             })
         );
-        const records = this.nodes.map(({ host, domain }) =>
-            createUpstreamRecord({ id: host, host, failureDomain: domain })
-        );
         const organisations = [{ name: "org-1", keyDigests: [], quota }];
+        this.listNodes(this.nodes);
         this.nodes.forEach(({ tokens }) => {
-            tokens.updateNodes(records);
             tokens.adopt(createRoutingTable(1, [], organisations));
             tokens.start();
         });
     }
 
+    /** Gives nodes a list of the nodes that are up, as the platform does. */
+    listNodes(receivers: readonly QuotaNode[], listed = this.nodes): void {
+        const records = listed.map(({ host, domain }) =>
+            createUpstreamRecord({ id: host, host, failureDomain: domain })
+        );
+        receivers.forEach(({ tokens }) => tokens.updateNodes(records, records.length));
+    }
+
+    /** Cuts a domain off from the others and from the platform, whose list lacks its nodes some time later. */
+    async runCut(cutDomain: string, durationMs: number): Promise<void> {
+        const others = this.nodes.filter(({ domain }) => domain !== cutDomain);
+        this.isCut = (from, to) => (from.domain === cutDomain) !== (to.domain === cutDomain);
+        await this.runFor(entryLapseMs);
+        this.listNodes(others, others);
+        await this.runFor(durationMs - entryLapseMs);
+        this.isCut = () => false;
+        this.listNodes(this.nodes);
+    }
+
     /** Sends requests of the organisation at all nodes for a time. */
     async runFor(durationMs: number, areRequestsSent = true): Promise<void> {
         const untilMs = this.clock.readMonotonicMs() + durationMs;
@@ -105,19 +123,16 @@
     });
 
     it.each(domains)(
-        "is let in soon after domain %s was cut off, on both sides, and after its return",
+        "is let in from the start of a cut of domain %s to its end and after, on both sides",
         async domain => {
             const fleet = new QuotaFleet();
             await fleet.runFor(5_000, false);
             await fleet.runFor(2_000);
-            fleet.isCut = (from, to) => (from.domain === domain) !== (to.domain === domain);
+            await fleet.runCut(domain, 8_000);
             await fleet.runFor(6_000);
-            fleet.isCut = () => false;
-            await fleet.runFor(6_000);
-            const shares = [7_000, 9_000, 11_000, 13_000, 15_000, 17_000].map(fromMs =>
-                Math.round(100 * fleet.computeGrantedShare(fromMs, fromMs + 2_000))
-            );
-            expect(Math.min(...shares.slice(1, 3), ...shares.slice(4))).toBeGreaterThanOrEqual(90);
+            const startsMs = Array.from({ length: 14 }, (unused, index) => 7_000 + 1_000 * index);
+            const shares = startsMs.map(fromMs => fleet.computeGrantedShare(fromMs, fromMs + 1_000));
+            expect(Math.min(...shares)).toBeGreaterThanOrEqual(0.9);
         },
     );
 });
--- a/src/relay/organisations/quotaTokens.ts
+++ b/src/relay/organisations/quotaTokens.ts
@@ -1,27 +1,23 @@
 /** Lets requests of an organisation in within its quota, with tokens of the node that holds the shares of the others. */
 import { ShareLedger } from "../../decisions/shareLedger";
+import { loanMs, type LoanTerms, type LoanTicket, ShareLoans } from "../../decisions/shareLoans";
 import { type QuotaBounds, splitQuota } from "../../decisions/splitQuota";
 import { type Organisation, type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { type Clock } from "../../tasks/_lib/clock";
-import { CachedRanking } from "../_lib/cachedRanking";
 import { HeldTokens, type QuotaVerdict } from "./heldTokens";
+import { HolderChoice } from "./holderChoice";
 
-/** Tokens that a node asks another one for, and its loan to that node. */
-export interface TokenQuery {
-    /** Stamp of the answering node's clock from its latest answer, and its incarnation; the loan ends a time after it. */
-    readonly ticketMs: number;
-    readonly incarnation: string;
-    /** Share of all quotas that the asking node lends. */
-    readonly share: number;
-    /** Whether the asking node lends its share for the first time since its start. */
-    readonly isFirst: boolean;
+/** Tokens that a node asks another one for, and the terms of its loan to that node. */
+export interface TokenQuery extends LoanTerms {
+    /** Whether the asking node wants its share back. */
+    readonly isReclaim: boolean;
     readonly wants: readonly (readonly [organisation: string, count: number])[];
 }
 
 /** Answer to a `TokenQuery`. */
-export interface TokenAnswer {
-    readonly ticketMs: number;
-    readonly incarnation: string;
+export interface TokenAnswer extends LoanTicket {
+    /** Whether the answering node has ended the loan, as the query has asked. */
+    readonly isReturned: boolean;
     /**
      * For each wanted organisation the number of tokens, and the time until there is one, in milliseconds; a negative
      * time if the answering node can't know whether the quota is exceeded.
@@ -46,16 +42,10 @@
     readonly onHolder: (host: string, reason: string) => void;
 }
 
-/** Time for which a share is lent after the ticket that the loan refers to, in milliseconds. */
-const loanMs = 1_500;
-/** Number of nodes up to which one holder serves all of them; a larger fleet has one in each failure domain. */
-const maxPooledNodes = 128;
 /** Interval of the loans while no tokens are needed, in milliseconds. */
-const renewalMs = 500;
-/** Time for which a node that didn't answer isn't asked, in milliseconds. */
-const suspicionMs = 3_000;
-/** Time for which the highest number of nodes counts; a node that is cut off still owns its share, in milliseconds. */
-const countRetentionMs = 10_000;
+const renewalMs = 300;
+/** Time after which a holder that couldn't know a quota is asked again for waiting requests, in milliseconds. */
+const unknownRetryMs = 100;
 /** Longest time that a refusal is repeated without asking again, in milliseconds. */
 const maxRefusalMs = 500;
 /** Share below which a lack of tokens may come from shares that others hold, and not from too many requests. */
@@ -64,33 +54,32 @@
 const unknownQuotaMs = -1;
 
 /**
- * Takes tokens from the ledger of the holder, a node that the others lend their shares to, and serves other nodes here. The
- * holder is the first of the fleet, or of the failure domain while that one doesn't answer, as when the domain is cut off.
+ * Takes tokens from the ledger of the holder, a node that the others lend their shares to, and serves other nodes here. A
+ * better holder than the current one is asked for a sign of life first, and gets the share as soon as the current one has
+ * given it back. A holder that doesn't answer keeps it until the loan ends.
  */
 export class QuotaTokens {
     private readonly ledger = new ShareLedger();
     private readonly organisations = new Map<string, HeldTokens>();
-    private readonly fleetRanking = new CachedRanking("quotas");
-    private readonly domainRanking: CachedRanking;
-    private domainHosts: readonly string[] = [];
-    private fleetHolder: string | undefined;
-    private readonly suspectedUntilMs = new Map<string, number>();
-    private nodeCounts: readonly { readonly count: number; readonly atMs: number; }[] = [];
-    private holder = "";
-    private ticket = { host: "", ticketMs: 0, incarnation: "", receivedAtMs: -Infinity };
-    private lentUntilMs = -Infinity;
-    private hasLent = false;
+    private readonly holders: HolderChoice;
+    private readonly loans: ShareLoans;
+    private holder: string;
     private isQuerying = false;
+    private isProbing = false;
+    private isRetryScheduled = false;
     private hasQuotas = false;
     private stopRenewal: (() => void) | undefined;
 
     constructor(private readonly dependencies: QuotaTokensDependencies) {
-        this.domainRanking = new CachedRanking(`${dependencies.failureDomain}/quotas`);
+        this.holder = dependencies.host;
+        this.holders = new HolderChoice(dependencies);
+        this.loans = new ShareLoans(dependencies.clock.readMonotonicMs());
     }
 
     start(): void {
         this.stopRenewal = this.dependencies.clock.startInterval(renewalMs, () => {
             if (this.hasQuotas) {
+                this.pingPreferred();
                 this.query();
             }
         });
@@ -117,19 +106,8 @@
         this.hasQuotas = limited.length > 0;
     }
 
-    updateNodes(records: readonly UpstreamRecord[]): void {
-        const { failureDomain } = this.dependencies;
-        const ready = records.filter(({ state }) => state === "ready");
-        const listHosts = (listed: readonly UpstreamRecord[]): readonly string[] => listed.map(({ host }) => host);
-        const inDomain = ready.filter(record => record.failureDomain === failureDomain);
-        this.domainHosts = this.domainRanking.update(listHosts(inDomain));
-        const nodeCount = new Set(listHosts(records)).size;
-        this.fleetHolder = nodeCount > maxPooledNodes ? undefined : this.fleetRanking.update(listHosts(ready))[0];
-        const atMs = this.readNowMs();
-        const recent = this.nodeCounts.filter(entry => atMs - entry.atMs < countRetentionMs);
-        // The former number was in force until now.
-        const former = this.nodeCounts.slice(-1).map(({ count }) => ({ count, atMs }));
-        this.nodeCounts = [...recent, ...former, { count: nodeCount, atMs }];
+    updateNodes(records: readonly UpstreamRecord[], nodeCount: number): void {
+        this.holders.updateNodes(records, nodeCount, this.readNowMs());
     }
 
     /** Takes a token for a request, and calls back at once or when the holder has answered. */
@@ -139,12 +117,13 @@
             settle({ kind: "granted" });
             return;
         }
-        const verdict = tokens.judge(this.readNowMs());
+        const nowMs = this.readNowMs();
+        const verdict = tokens.judge(nowMs);
         if (verdict) {
             settle(verdict);
             return;
         }
-        tokens.enqueue(settle);
+        tokens.enqueue(settle, nowMs);
         this.query();
     }
 
@@ -159,10 +138,15 @@
         if (query.incarnation === this.dependencies.incarnation) {
             this.ledger.addLoan(host, { ...query, endsAtMs: query.ticketMs + loanMs }, nowMs);
         }
+        const grants = query.wants.map(([name, count]) => this.takeGrant(name, count, nowMs));
+        if (query.isReclaim) {
+            this.ledger.endLoan(host, { serial: query.serial, forgetAtMs: nowMs + loanMs }, nowMs);
+        }
         return {
             ticketMs: nowMs,
             incarnation: this.dependencies.incarnation,
-            grants: query.wants.map(([name, count]) => this.takeGrant(name, count, nowMs)),
+            isReturned: query.isReclaim,
+            grants,
         };
     }
 
@@ -188,36 +172,79 @@
     }
 
     private sendQuery(): void {
-        const { host: ownHost, queryTokens } = this.dependencies;
-        const host = this.chooseHolder();
         const nowMs = this.readNowMs();
+        const preferred = this.holders.choose(nowMs);
+        const isMoving = preferred !== this.holder && !this.holders.isSuspected(this.holder, nowMs);
+        const isReclaim = isMoving && this.canMoveTo(preferred, nowMs)
+            && this.loans.findBorrower(nowMs) === this.holder;
+        if (preferred !== this.holder && !isReclaim && (!isMoving || this.canMoveTo(preferred, nowMs))) {
+            this.recordHolder(preferred, isMoving ? "first of the ranking" : `no answer from ${this.holder}`);
+        }
+        const host = this.holder;
         const wanting = [...this.organisations].filter(([, { isWaiting }]) => isWaiting);
         const wants = wanting.map(([name, tokens]) => [name, tokens.beginQuery()] as const);
-        const query = { ...this.createLoan(host, nowMs), wants };
-        const handle = (answer: TokenAnswer | undefined): void => this.applyAnswer(host, wanting, answer);
+        this.queryNode(host, { ...this.createTerms(host, isReclaim, nowMs), isReclaim, wants }, answer => {
+            this.isQuerying = false;
+            this.applyAnswer(host, wanting, answer);
+        });
+    }
+
+    private createTerms(host: string, isReclaim: boolean, nowMs: number): LoanTerms {
+        if (host === this.dependencies.host) {
+            // The own clock needs no exchange.
+            this.loans.recordTicket(host, { ticketMs: nowMs, incarnation: this.dependencies.incarnation }, nowMs);
+        }
+        return isReclaim
+            ? this.loans.createReclaim()
+            : this.loans.createLoan(host, 1 / this.holders.countNodes(nowMs), nowMs);
+    }
+
+    private canMoveTo(host: string, nowMs: number): boolean {
+        return host === this.dependencies.host || this.loans.hasTicket(host, nowMs);
+    }
+
+    /** Asks a better holder than the current one for a sign of life; requests don't wait for it. */
+    private pingPreferred(): void {
+        const nowMs = this.readNowMs();
+        const preferred = this.holders.choose(nowMs);
+        if (this.isProbing || preferred === this.holder || preferred === this.dependencies.host) {
+            return;
+        }
+        this.isProbing = true;
+        const probe = {
+            ticketMs: 0,
+            incarnation: "",
+            serial: 0,
+            share: 0,
+            isFirst: false,
+            isReclaim: false,
+            wants: [],
+        };
+        this.queryNode(preferred, probe, answer => {
+            this.isProbing = false;
+            this.recordAnswer(preferred, answer);
+            if (answer) {
+                this.query();
+            }
+        });
+    }
+
+    private queryNode(host: string, query: TokenQuery, onAnswer: (answer: TokenAnswer | undefined) => void): void {
+        const { host: ownHost, queryTokens } = this.dependencies;
         if (host === ownHost) {
-            handle(this.serve(ownHost, query));
+            onAnswer(this.serve(ownHost, query));
             return;
         }
-        queryTokens(host, query, handle);
+        queryTokens(host, query, onAnswer);
     }
 
-    /** Lends the node's share for a time after the holder's ticket, unless another node may still have it. */
-    private createLoan(host: string, nowMs: number): Omit<TokenQuery, "wants"> {
-        const { ticket } = this;
-        const isOwn = host === this.dependencies.host;
-        const isKnown = isOwn || ticket.host === host;
-        const canLend = isKnown && (this.holder === host || nowMs >= this.lentUntilMs);
-        const { incarnation } = isOwn ? this.dependencies : ticket;
-        const receivedAtMs = isOwn ? nowMs : ticket.receivedAtMs;
-        if (!canLend || receivedAtMs + loanMs <= nowMs) {
-            return { ticketMs: 0, incarnation: "", share: 0, isFirst: false };
+    private recordAnswer(host: string, answer: TokenAnswer | undefined): void {
+        const nowMs = this.readNowMs();
+        if (answer) {
+            this.loans.recordTicket(host, answer, nowMs);
+            return;
         }
-        this.holder = host;
-        this.lentUntilMs = Math.max(this.lentUntilMs, receivedAtMs + loanMs);
-        const isFirst = !this.hasLent;
-        this.hasLent = true;
-        return { ticketMs: isOwn ? nowMs : ticket.ticketMs, incarnation, share: 1 / this.countNodes(nowMs), isFirst };
+        this.holders.recordSilence(host, nowMs);
     }
 
     private applyAnswer(
@@ -226,34 +253,43 @@
         answer: TokenAnswer | undefined,
     ): void {
         const nowMs = this.readNowMs();
-        this.isQuerying = false;
-        if (!answer) {
-            this.suspectedUntilMs.set(host, nowMs + suspicionMs);
-            wanting.forEach(([, tokens]) => tokens.settleAll({ kind: "unsure" }));
-            this.dependencies.onHolder(this.chooseHolder(), `${host}: no answer`);
-            return;
+        const couldLend = this.loans.canLend(host, nowMs);
+        this.recordAnswer(host, answer);
+        const isReturned = answer?.isReturned === true;
+        if (isReturned) {
+            this.loans.recordReturn();
         }
-        if (host !== this.ticket.host) {
-            this.dependencies.onHolder(host, "first of the ranking that answers");
+        wanting.forEach(([, tokens], index) => {
+            tokens.applyGrant(answer?.grants[index] ?? [0, unknownQuotaMs], nowMs);
+            tokens.refuseOverdue(nowMs);
+        });
+        if (!answer || isReturned || !couldLend && this.loans.canLend(host, nowMs)) {
+            this.query();
+            return;
         }
-        this.ticket = { host, ticketMs: answer.ticketMs, incarnation: answer.incarnation, receivedAtMs: nowMs };
-        wanting.forEach(([, tokens], index) => tokens.applyGrant(answer.grants[index] ?? [0, unknownQuotaMs], nowMs));
         if ([...this.organisations.values()].some(({ isWaiting }) => isWaiting)) {
-            this.query();
+            this.scheduleQuery(wanting.some(([, { isWaiting }]) => isWaiting) ? unknownRetryMs : 0);
         }
     }
 
-    private chooseHolder(): string {
-        const nowMs = this.readNowMs();
-        const isUsable = (host: string): boolean => (this.suspectedUntilMs.get(host) ?? -Infinity) <= nowMs;
-        const ranking = this.fleetHolder === undefined ? this.domainHosts : [this.fleetHolder, ...this.domainHosts];
-        return ranking.find(isUsable) ?? this.dependencies.host;
+    private scheduleQuery(delayMs: number): void {
+        if (delayMs === 0) {
+            this.query();
+            return;
+        }
+        if (this.isRetryScheduled) {
+            return;
+        }
+        this.isRetryScheduled = true;
+        this.dependencies.clock.startTimeout(delayMs, () => {
+            this.isRetryScheduled = false;
+            this.query();
+        });
     }
 
-    private countNodes(nowMs: number): number {
-        const latest = this.nodeCounts[this.nodeCounts.length - 1]?.count ?? 1;
-        const recent = this.nodeCounts.filter(({ atMs }) => nowMs - atMs < countRetentionMs);
-        return Math.max(1, latest, ...recent.map(({ count }) => count));
+    private recordHolder(host: string, reason: string): void {
+        this.holder = host;
+        this.dependencies.onHolder(host, reason);
     }
 
     private readNowMs(): number {
