Use a new link after a token query that got no answer

Cause: token queries don't count as requests under way, so a link that had gone silent was never pinged, and every further query went over it and timed out until the connection was idle for 30 s.

Change: a link over which no frame came since an unanswered query takes no new requests, and is closed unless requests are under way on it. Queries given up on are forgotten at once; they were kept until the link closed.

--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -43,6 +43,7 @@
     /** Queries that wait for the connection to open. */
     private readonly unsentQueries: Frame[] = [];
     private lastId = 0;
+    private frameCount = 0;
     private isConnected = false;
     private isClosed = false;
 
@@ -71,6 +72,11 @@
         return this.pendingRequests.size;
     }
 
+    /** Number of frames that the other node has sent. */
+    get receivedFrames(): number {
+        return this.frameCount;
+    }
+
     /** Sends a request without a streamed body once the connection is open; returns a function that cancels it. */
     send(hopRequest: HopRequest, handler: HopHandler): (cause: "timeout" | "cancelled" | "connection") => void {
         this.lastId += 1;
@@ -90,16 +96,24 @@
         return cause => this.cancel(id, cause);
     }
 
-    /** Sends a token query; calls back once, with undefined if the connection closes first. */
-    queryTokens(query: TokenQuery, onAnswer: (answer: TokenAnswer | undefined) => void): void {
+    /**
+     * Sends a token query; calls back once, with undefined if the connection closes first. Returns a function that gives
+     * the query up.
+     */
+    queryTokens(query: TokenQuery, onAnswer: (answer: TokenAnswer | undefined) => void): () => void {
         this.lastId += 1;
-        this.pendingQueries.set(this.lastId, onAnswer);
-        const frame: Frame = [frameKinds.tokenQuery, this.lastId, query];
+        const id = this.lastId;
+        this.pendingQueries.set(id, onAnswer);
+        const frame: Frame = [frameKinds.tokenQuery, id, query];
         if (this.isConnected) {
             this.frames.write(frame);
-            return;
         }
-        this.unsentQueries.push(frame);
+        else {
+            this.unsentQueries.push(frame);
+        }
+        return () => {
+            this.pendingQueries.delete(id);
+        };
     }
 
     /** Sends a ping if the connection is open; its reply triggers `onActivity`, as any frame does. */
@@ -146,6 +160,7 @@
     }
 
     private receive([kind, id, ...fields]: Frame): void {
+        this.frameCount += 1;
         this.dependencies.onActivity();
         if (kind === frameKinds.tokenAnswer) {
             const handle = this.pendingQueries.get(id);
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -103,16 +103,20 @@
 
     /** Sends a token query to a node; calls back once, with undefined if no answer comes in time. */
     queryTokens(host: string, query: TokenQuery, onAnswer: (answer: TokenAnswer | undefined) => void): void {
-        let isAnswered = false;
-        const settle = (answer: TokenAnswer | undefined): void => {
-            if (!isAnswered) {
-                isAnswered = true;
-                this.dependencies.wheel.remove(timeout);
-                onAnswer(answer);
+        const peer = this.getPeer(host);
+        const link = this.chooseLink(host, peer);
+        const { receivedFrames } = link;
+        const timeout = this.dependencies.wheel.add(tokenTimeoutMs, () => {
+            cancelQuery();
+            if (link.receivedFrames === receivedFrames) {
+                removeSilentLink(peer, link);
             }
-        };
-        const timeout = this.dependencies.wheel.add(tokenTimeoutMs, () => settle(undefined));
-        this.chooseLink(host, this.getPeer(host)).queryTokens(query, settle);
+            onAnswer(undefined);
+        });
+        const cancelQuery = link.queryTokens(query, answer => {
+            this.dependencies.wheel.remove(timeout);
+            onAnswer(answer);
+        });
     }
 
     private sendOverHttp(peer: Peer, hopRequest: HopRequest, handler: HopHandler): CancelHop {
@@ -220,3 +224,11 @@
         stalledHops.filter(({ hopRequest }) => hopRequest.idempotent).forEach(({ cancel }) => cancel("connection"));
     }
 }
+
+/** Has the next query use a new link, which shows whether the node is reachable. Requests under way keep theirs. */
+const removeSilentLink = (peer: Peer, link: LinkClient): void => {
+    peer.links.delete(link);
+    if (link.pending === 0) {
+        link.abort();
+    }
+};
