Add bench loads: heavy loads on relay nodes on a virtual clock, with a table and a plot

The command plays eight load patterns, two of them on a new call graph whose bottleneck is three calls deep and shared by routes that need four, eight or none of its reads, and prints what the callers got, by route and by second.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import { runDemo } from "./demo";
 import { runLatency } from "./latency";
 import { runLimits } from "./limits";
+import { runLoads } from "./loads";
 import { runVirtual } from "./virtual";
 import { type ControlKind } from "./virtual/types";
 
@@ -65,6 +66,20 @@
     .example("node dist/bench.cjs limits")
     .action((options: { readonly out: string; }) => runLimits({ outFolder: options.out, seeds: [1, 2, 3] }));
 
+program
+    .command("loads", "Play heavy loads on relay nodes on a virtual clock")
+    .option("--seeds <number>", "Number of seeds of each load", { default: 3 })
+    .option("--only <text>", "Only loads whose name contains a text")
+    .option("--out <folder>", "Folder for the results", { default: `${distFolder}/loads` })
+    .example("node dist/bench.cjs loads --only surge")
+    .action((options: { readonly seeds: number; readonly only?: string; readonly out: string; }) =>
+        runLoads({
+            outFolder: options.out,
+            seeds: Array.from({ length: options.seeds }, (unused, index) => index + 1),
+            only: options.only,
+        })
+    );
+
 program.help();
 
 const runProgram = async (): Promise<void> => {
