Admit the share of requests that the admission probability says

Cause: the credit of a route was cut off at one request, so the fraction left over was lost at each admission: at a probability of 0.92 every other request was refused, and any value between a half and one admitted a half.

--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -29,7 +29,7 @@
 interface RouteAdmission {
     /** Probability with which a direct request is admitted, 0 to 1. */
     probability: number;
-    /** Accrued fraction of a request to admit, at most 1. Early admission of returning requests makes it negative. */
+    /** Accrued fraction of a request to admit, less than 2. Early admission of returning requests makes it negative. */
     credit: number;
     /** Number of answers in the current window. */
     answers: number;
@@ -61,7 +61,7 @@
             return true;
         }
         const isReturning = this.shedRequests.delete(identity);
-        admission.credit = Math.min(1, admission.credit + admission.probability);
+        admission.credit += admission.probability;
         if (admission.credit < (isReturning ? 1 - maxReturningCredit : 1)) {
             this.shedRequests.set(identity, true);
             return false;
--- a/src/relay/shedding/test.ts
+++ b/src/relay/shedding/test.ts
@@ -51,6 +51,21 @@
     });
 });
 
+describe("Shedding in part", () => {
+    // Guards against a credit that is cut off, with which any share between a half and all admits a half.
+    it("admits the share of the requests that the admission probability says", () => {
+        const { clock, shedding } = createShedding();
+        measureAdmittedShare(shedding, clock, 0.3, 0.2);
+        const probability = shedding.readAdmissionProbability("route");
+        const admittedCount = Array.from({ length: 200 }, (unused, index) => `new ${index}`).filter(identity =>
+            shedding.tryAdmit("route", 2, identity)
+        ).length;
+        expect(probability).toBeGreaterThan(0.6);
+        expect(probability).toBeLessThan(0.97);
+        expect(admittedCount / 200).toBeCloseTo(probability, 1);
+    });
+});
+
 describe("Shedding without answers", () => {
     // Guards against an entry that sheds nearly all of a few requests and takes the silence for free capacity.
     it("does not admit most requests again after a second of silence", () => {
