Shed requests by their rank too, so that an important organisation goes first at the entry

Cause: the admission of a route was one for all ranks, and its answers counted with the rank of the route, so a request of an organisation of rank 0 was shed like all others of the route; only the queues knew its rank.

Ruled out: one admission for each rank without more; with 66 entries each rank would hear less than one answer a second. So congestion that an important request met counts for less important ones too, and the lack of it the other way round.

Tests: ranks 0 and 2 on one route, and rank 2 told by answers to rank 0 only.

--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -86,9 +86,10 @@
     private tryAdmit(): void {
         const { routing, shedding, sampleRandom } = this.dependencies;
         const { name, targetLatencyMs } = this.route!;
-        if (!this.parent && !shedding.tryAdmit(name, this.caller.readRank(this.route!), this.identity)) {
+        const rank = this.caller.readRank(this.route!);
+        if (!this.parent && !shedding.tryAdmit(name, rank, this.identity)) {
             this.caller.releaseToken();
-            this.refuse(describeShed(shedding.readAdmissionProbability(name), targetLatencyMs, sampleRandom()));
+            this.refuse(describeShed(shedding.readAdmissionProbability(name, rank), targetLatencyMs, sampleRandom()));
             return;
         }
         const maxBytes = routing.limits?.maxBodyBytes ?? 0;
--- a/src/relay/entry/requestSender.ts
+++ b/src/relay/entry/requestSender.ts
@@ -234,7 +234,9 @@
         }
         this.hedgeTimeout = this.dependencies.wheel.add(delayMs, () => {
             const isFirstHopPending = this.hops.size === 1 && this.triedUpstreamIds.length === 0;
-            if (isFirstHopPending && this.dependencies.shedding.isUncongested(route.name, request.nested)) {
+            if (
+                isFirstHopPending && this.dependencies.shedding.isUncongested(route.name, request.rank, request.nested)
+            ) {
                 this.tryRetry();
             }
         });
@@ -253,14 +255,14 @@
     }
 
     private recordReport(upstreamId: string, report: LoadReport): void {
-        const { route, parent } = this.input;
+        const { route, request, parent } = this.input;
         this.dependencies.directory.recordReport(upstreamId, report);
         if (parent) {
             recordNestedAnswer(parent, report);
             this.dependencies.shedding.recordNestedAnswer(route.name, report.congestion);
             return;
         }
-        this.dependencies.shedding.recordAnswer(route.name, route.rank, report.congestion);
+        this.dependencies.shedding.recordAnswer(route.name, request.rank, report.congestion);
     }
 
     private recordResult({ upstreamId, sentAtMs }: ActiveHop, result: HopResult, report: LoadReport | undefined): void {
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -44,9 +44,10 @@
     updatedAtMs: number;
 }
 
-/** Sheds direct requests by the admission probability of their route, and recognizes those that return. */
+/** Sheds direct requests by the admission probability of their route and rank, and recognizes those that return. */
 export class Shedding {
-    private readonly admissions = new Map<string, RouteAdmission>();
+    /** Admissions by route and by the rank of the requests. */
+    private readonly admissions = new Map<string, Map<number, RouteAdmission>>();
     private readonly nestedCongestions = new Map<string, NestedCongestion>();
     private readonly shedRequests: LRUCache<string, true>;
 
@@ -70,16 +71,25 @@
         return true;
     }
 
-    /** Returns the admission probability of a route's direct requests, 0 to 1. */
-    readAdmissionProbability(route: string): number {
-        return this.admissions.get(route)?.probability ?? 1;
+    /** Returns the admission probability of a route's direct requests of a rank, 0 to 1. */
+    readAdmissionProbability(route: string, rank: number): number {
+        return this.admissions.get(route)?.get(rank)?.probability ?? 1;
     }
 
-    /** Records the congestion that the answer to a direct request reported, 0 to 1. */
+    /**
+     * Records the congestion that the answer to a direct request reported, 0 to 1. Where an important request meets
+     * congestion a less important one would too, and where the latter meets none the former wouldn't either.
+     */
     recordAnswer(route: string, rank: number, congestion: number): void {
-        const admission = this.updateAdmission(route, rank);
-        admission.answers += 1;
-        admission.congestionSum += congestion;
+        this.updateAdmission(route, rank);
+        this.admissions.get(route)!.forEach((unused, otherRank) => {
+            const isTelling = otherRank === rank || (congestion > 0 ? otherRank > rank : otherRank < rank);
+            if (isTelling) {
+                const admission = this.updateAdmission(route, otherRank);
+                admission.answers += 1;
+                admission.congestionSum += congestion;
+            }
+        });
     }
 
     /** Records the congestion that the answer to a nested request reported, 0 to 1; a refused request counts as 1. */
@@ -95,11 +105,20 @@
      * Whether a route has capacity for a hedged request. For nested requests that have reported congestion, their mean
      * congestion must be low; otherwise, the route's admission probability must be 1.
      */
-    isUncongested(route: string, nested: boolean): boolean {
+    isUncongested(route: string, rank: number, nested: boolean): boolean {
         const nestedCongestion = nested ? this.nestedCongestions.get(route) : undefined;
         return nestedCongestion
             ? this.computeDecayedCongestion(nestedCongestion) < uncongestedThreshold
-            : this.readAdmissionProbability(route) >= 1;
+            : this.readAdmissionProbability(route, rank) >= 1;
+    }
+
+    private getAdmission(route: string, rank: number, nowMs: number): RouteAdmission {
+        const byRank = this.admissions.get(route) ?? new Map<number, RouteAdmission>();
+        this.admissions.set(route, byRank);
+        const admission = byRank.get(rank)
+            ?? { probability: 1, credit: 1, answers: 0, congestionSum: 0, windowStartMs: nowMs };
+        byRank.set(rank, admission);
+        return admission;
     }
 
     private computeDecayedCongestion(nestedCongestion: NestedCongestion): number {
@@ -109,12 +128,10 @@
             : nestedCongestion.congestion;
     }
 
-    /** Returns the admission state of a route; updates its probability first if the window is over. */
+    /** Returns the admission state of a route and rank; updates its probability first if the window is over. */
     private updateAdmission(route: string, rank: number): RouteAdmission {
         const nowMs = this.readNowMs();
-        const admission = this.admissions.get(route)
-            ?? { probability: 1, credit: 1, answers: 0, congestionSum: 0, windowStartMs: nowMs };
-        this.admissions.set(route, admission);
+        const admission = this.getAdmission(route, rank, nowMs);
         const elapsedMs = nowMs - admission.windowStartMs;
         const isWindowOver = admission.answers > 0 ? elapsedMs >= updateWindowMs : elapsedMs >= idleWindowMs;
         if (!isWindowOver) {
--- a/src/relay/shedding/test.ts
+++ b/src/relay/shedding/test.ts
@@ -51,15 +51,38 @@
     });
 });
 
+describe("Shedding with organisations of different ranks on one route", () => {
+    it("admits the important ones while the others are shed", () => {
+        const { clock, shedding } = createShedding();
+        for (let step = 0; step < 300; step += 1) {
+            clock.nowMs += 10;
+            [0, 2].filter(rank => shedding.tryAdmit("route", rank, `${rank} ${step}`)).forEach(rank =>
+                shedding.recordAnswer("route", rank, rank === 0 ? 0.2 : 0.8)
+            );
+        }
+        expect(shedding.readAdmissionProbability("route", 0)).toBe(1);
+        expect(shedding.readAdmissionProbability("route", 2)).toBeLessThan(0.3);
+    });
+
+    it("sheds the others when only important ones have met congestion", () => {
+        const { clock, shedding } = createShedding();
+        shedding.tryAdmit("route", 2, "first");
+        measureAdmittedShare(shedding, clock, 2, 0.3, 0);
+        expect(shedding.readAdmissionProbability("route", 0)).toBe(1);
+        expect(shedding.readAdmissionProbability("route", 2)).toBeLessThan(0.5);
+    });
+});
+
 describe("Shedding in part", () => {
     // Guards against a credit that is cut off, with which any share between a half and all admits a half.
     it("admits the share of the requests that the admission probability says", () => {
         const { clock, shedding } = createShedding();
         measureAdmittedShare(shedding, clock, 0.3, 0.2);
-        const probability = shedding.readAdmissionProbability("route");
-        const admittedCount = Array.from({ length: 200 }, (unused, index) => `new ${index}`).filter(identity =>
-            shedding.tryAdmit("route", 2, identity)
-        ).length;
+        const probability = shedding.readAdmissionProbability("route", 2);
+        const admittedCount =
+            Array.from({ length: 200 }, (unused, index) => `new ${index}`).filter(identity =>
+                shedding.tryAdmit("route", 2, identity)
+            ).length;
         expect(probability).toBeGreaterThan(0.6);
         expect(probability).toBeLessThan(0.97);
         expect(admittedCount / 200).toBeCloseTo(probability, 1);
@@ -75,7 +98,7 @@
             clock.nowMs += pauseMs;
             shedding.tryAdmit("route", 2, `after ${pauseMs}`);
         });
-        expect(shedding.readAdmissionProbability("route")).toBeLessThan(0.5);
+        expect(shedding.readAdmissionProbability("route", 2)).toBeLessThan(0.5);
     });
 
     it("admits all requests again after some seconds of silence", () => {
@@ -85,7 +108,7 @@
             clock.nowMs += 1_000;
             shedding.tryAdmit("route", 2, `late ${second}`);
         }
-        expect(shedding.readAdmissionProbability("route")).toBe(1);
+        expect(shedding.readAdmissionProbability("route", 2)).toBe(1);
     });
 });
 
@@ -114,9 +137,9 @@
     it("tracks the congestion of each route, which decays while no answers arrive", () => {
         const { clock, shedding } = createShedding();
         Array.from({ length: 20 }).forEach(() => shedding.recordNestedAnswer("deep", 1));
-        expect(shedding.isUncongested("deep", true)).toBe(false);
-        expect(shedding.isUncongested("other", true)).toBe(true);
+        expect(shedding.isUncongested("deep", 2, true)).toBe(false);
+        expect(shedding.isUncongested("other", 2, true)).toBe(true);
         clock.nowMs += 3_000;
-        expect(shedding.isUncongested("deep", true)).toBe(true);
+        expect(shedding.isUncongested("deep", 2, true)).toBe(true);
     });
 });
