Shed organisations that send much before those that send little, within a rank

Ways: none (before); a fair share within a rank, the same level for all organisations of a node, so that the share of the admission probability is kept (here); order by recent use in the queues is not built.

Requests without an organisation are admitted as before.

--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -87,7 +87,8 @@
         const { routing, shedding, sampleRandom } = this.dependencies;
         const { name, targetLatencyMs } = this.route!;
         const rank = this.caller.readRank(this.route!);
-        if (!this.parent && !shedding.tryAdmit(name, rank, this.identity)) {
+        const { name: organisation } = this.caller;
+        if (!this.parent && !shedding.tryAdmit({ route: name, rank, organisation, identity: this.identity })) {
             this.caller.releaseToken();
             this.refuse(describeShed(shedding.readAdmissionProbability(name, rank), targetLatencyMs, sampleRandom()));
             return;
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -1,6 +1,8 @@
 /** Decides which direct requests to admit, from the congestion that the answers to earlier requests reported. */
 import { LRUCache } from "lru-cache";
+import { computeFairProbability } from "../../decisions/computeFairLevel";
 import { updateAdmissionByCongestion } from "../../decisions/updateAdmissionByCongestion";
+import { RecentDemand } from "./recentDemand";
 
 /** Interval between updates of an admission probability while answers arrive, in milliseconds. */
 const updateWindowMs = 100;
@@ -19,6 +21,8 @@
 const decayMs = 500;
 /** Mean congestion below which the nested requests of a route count as uncongested. */
 const uncongestedThreshold = 0.1;
+/** Weight of one request in the moving mean of `fairBias`. */
+const fairBiasWeight = 0.05;
 /** Number of returning requests that may be admitted in advance, at the expense of later new ones. */
 const maxReturningCredit = 4;
 /** Maximum number of shed requests that are remembered, over all routes. */
@@ -36,6 +40,20 @@
     /** Sum of the congestion that these answers reported. */
     congestionSum: number;
     windowStartMs: number;
+    /** Level up to which organisations are admitted alike; undefined until it is needed after an update. */
+    fairLevel: number | undefined;
+    /** Moving mean of the probabilities of organisations, as a multiple of the admission probability. */
+    fairBias: number;
+}
+
+/** A direct request at the entry. */
+export interface DirectRequest {
+    readonly route: string;
+    readonly rank: number;
+    /** Name of the organisation that sends it; undefined if that is not known. */
+    readonly organisation: string | undefined;
+    /** Text by which the request is recognized when it returns after it was shed. */
+    readonly identity: string;
 }
 
 interface NestedCongestion {
@@ -46,6 +64,7 @@
 
 /** Sheds direct requests by the admission probability of their route and rank, and recognizes those that return. */
 export class Shedding {
+    private readonly demandByRank = new Map<number, RecentDemand>();
     /** Admissions by route and by the rank of the requests. */
     private readonly admissions = new Map<string, Map<number, RouteAdmission>>();
     private readonly nestedCongestions = new Map<string, NestedCongestion>();
@@ -55,14 +74,20 @@
         this.shedRequests = new LRUCache({ max: maxShedRequests, ttl: shedRequestTtlMs, perf: { now: readNowMs } });
     }
 
-    /** Decides whether to admit a direct request. A request with a recently shed `identity` precedes new ones. */
-    tryAdmit(route: string, rank: number, identity: string): boolean {
+    /**
+     * Decides whether to admit a direct request. A request with a recently shed `identity` precedes new ones, and
+     * organisations that send much are shed before those that send little.
+     */
+    tryAdmit({ route, rank, organisation, identity }: DirectRequest): boolean {
         const admission = this.updateAdmission(route, rank);
-        if (admission.probability >= 1 && admission.credit >= 1) {
+        const probability = organisation === undefined
+            ? admission.probability
+            : this.computeOrganisationProbability(admission, rank, organisation);
+        if (probability >= 1 && admission.credit >= 1) {
             return true;
         }
         const isReturning = this.shedRequests.delete(identity);
-        admission.credit += admission.probability;
+        admission.credit += probability;
         if (admission.credit < (isReturning ? 1 - maxReturningCredit : 1)) {
             this.shedRequests.set(identity, true);
             return false;
@@ -112,11 +137,33 @@
             : this.readAdmissionProbability(route, rank) >= 1;
     }
 
+    private computeOrganisationProbability(admission: RouteAdmission, rank: number, organisation: string): number {
+        const nowMs = this.readNowMs();
+        const demand = this.demandByRank.get(rank) ?? new RecentDemand();
+        this.demandByRank.set(rank, demand);
+        const earlier = demand.record(organisation, nowMs);
+        if (admission.probability >= 1) {
+            return 1;
+        }
+        admission.fairLevel ??= demand.computeLevel(admission.probability, nowMs);
+        const probability = computeFairProbability(admission.fairLevel, earlier);
+        // Organisations that were not seen lately make the level too high for the share that is to be admitted.
+        admission.fairBias += fairBiasWeight * (probability / admission.probability - admission.fairBias);
+        return Math.min(1, probability / admission.fairBias);
+    }
+
     private getAdmission(route: string, rank: number, nowMs: number): RouteAdmission {
         const byRank = this.admissions.get(route) ?? new Map<number, RouteAdmission>();
         this.admissions.set(route, byRank);
-        const admission = byRank.get(rank)
-            ?? { probability: 1, credit: 1, answers: 0, congestionSum: 0, windowStartMs: nowMs };
+        const admission = byRank.get(rank) ?? {
+            probability: 1,
+            credit: 1,
+            answers: 0,
+            congestionSum: 0,
+            windowStartMs: nowMs,
+            fairLevel: undefined,
+            fairBias: 1,
+        };
         byRank.set(rank, admission);
         return admission;
     }
@@ -148,6 +195,7 @@
         admission.answers = 0;
         admission.congestionSum = 0;
         admission.windowStartMs = nowMs;
+        admission.fairLevel = undefined;
         return admission;
     }
 }
--- a/src/relay/shedding/manyEntries.test.ts
+++ b/src/relay/shedding/manyEntries.test.ts
@@ -23,7 +23,7 @@
 }
 
 /** Runs the load and counts by second. The service refuses what would wait for longer than its target permits. */
-const runLoad = (seed: number, capacityShare: number): readonly SecondCounts[] => {
+const runLoad = (seed: number, capacityShare: number, organisationCount: number): readonly SecondCounts[] => {
     const sampleRandom = createRandom(seed);
     const clock = { nowMs: 0 };
     const readNowMs = (): number => clock.nowMs;
@@ -35,6 +35,8 @@
     let answers: { readonly atMs: number; readonly settle: () => void; }[] = [];
     const fullRate = entryCount * requestsPerSecond * 1.2;
     let queued = 0;
+    const sampleOrganisation = (): string | undefined =>
+        organisationCount === 0 ? undefined : `org-${Math.floor(sampleRandom() * organisationCount)}`;
     for (; clock.nowMs < endMs; clock.nowMs += stepMs) {
         const second = counts[Math.floor(clock.nowMs / 1_000)]!;
         const due = answers.filter(({ atMs }) => atMs <= clock.nowMs);
@@ -46,7 +48,11 @@
         sheddings.forEach(shedding => {
             const isSent = sampleRandom() < requestsPerSecond * stepMs / 1_000;
             second.offered += isSent ? 1 : 0;
-            if (!isSent || !shedding.tryAdmit("lookup", 2, `${clock.nowMs}`)) {
+            if (!isSent) {
+                return;
+            }
+            const organisation = sampleOrganisation();
+            if (!shedding.tryAdmit({ route: "lookup", rank: 2, organisation, identity: `${clock.nowMs}` })) {
                 return;
             }
             second.admitted += 1;
@@ -70,17 +76,23 @@
     return { offered: sum("offered"), admitted: sum("admitted"), served: sum("served"), refused: sum("refused") };
 };
 
-describe.each([0.35, 0.7])("hundreds of entries with little traffic each, and %d of the capacity", share => {
+describe.each([
+    { share: 0.35, organisations: 0 },
+    { share: 0.7, organisations: 0 },
+    { share: 0.35, organisations: 75 },
+    { share: 0.7, organisations: 75 },
+])("hundreds of entries with little traffic each, $share of the capacity, $organisations organisations", options => {
+    const { share, organisations } = options;
     const capacityPerSecond = entryCount * requestsPerSecond * 1.2 * share;
 
     it.each([1, 2])("admit little more than the service can serve within three seconds of a loss (seed %i)", seed => {
-        const settled = computeSums(runLoad(seed, share), 9, 20);
+        const settled = computeSums(runLoad(seed, share, organisations), 9, 20);
         expect(settled.refused / settled.admitted).toBeLessThan(0.15);
         expect(settled.served / 11).toBeGreaterThan(0.8 * capacityPerSecond);
     });
 
     it.each([1, 2])("admit everything again within five seconds after it (seed %i)", seed => {
-        const { offered, admitted } = computeSums(runLoad(seed, share), 25, 30);
+        const { offered, admitted } = computeSums(runLoad(seed, share, organisations), 25, 30);
         expect(admitted / offered).toBeGreaterThan(0.97);
     });
 });
--- a/src/relay/shedding/test.ts
+++ b/src/relay/shedding/test.ts
@@ -1,4 +1,11 @@
-import { Shedding } from "./index";
+import { type DirectRequest, Shedding } from "./index";
+
+const createRequest = (rank: number, identity: string, organisation?: string): DirectRequest => ({
+    route: "route",
+    rank,
+    organisation,
+    identity,
+});
 
 /** Offers 100 new requests per second and reports `congestion` on each answer; returns the admitted share. */
 const measureAdmittedShare = (
@@ -11,7 +18,7 @@
     let admittedCount = 0;
     for (let step = 0; step < seconds * 100; step += 1) {
         clock.nowMs += 10;
-        if (shedding.tryAdmit("route", rank, `new ${clock.nowMs}`)) {
+        if (shedding.tryAdmit(createRequest(rank, `new ${clock.nowMs}`))) {
             admittedCount += 1;
             shedding.recordAnswer("route", rank, congestion);
         }
@@ -56,7 +63,7 @@
         const { clock, shedding } = createShedding();
         for (let step = 0; step < 300; step += 1) {
             clock.nowMs += 10;
-            [0, 2].filter(rank => shedding.tryAdmit("route", rank, `${rank} ${step}`)).forEach(rank =>
+            [0, 2].filter(rank => shedding.tryAdmit(createRequest(rank, `${rank} ${step}`))).forEach(rank =>
                 shedding.recordAnswer("route", rank, rank === 0 ? 0.2 : 0.8)
             );
         }
@@ -66,13 +73,35 @@
 
     it("sheds the others when only important ones have met congestion", () => {
         const { clock, shedding } = createShedding();
-        shedding.tryAdmit("route", 2, "first");
+        shedding.tryAdmit(createRequest(2, "first"));
         measureAdmittedShare(shedding, clock, 2, 0.3, 0);
         expect(shedding.readAdmissionProbability("route", 0)).toBe(1);
         expect(shedding.readAdmissionProbability("route", 2)).toBeLessThan(0.5);
     });
 });
 
+describe("Shedding with one organisation that sends ten times as much as each of the others", () => {
+    const hotOrganisation = "org-0";
+
+    it("lets the others in, and sheds the hot one", () => {
+        const { clock, shedding } = createShedding();
+        const admitted: string[] = [];
+        const senders = Array.from({ length: 20 }, (unused, index) => `org-${Math.max(0, index - 9)}`);
+        for (let step = 0; step < 600; step += 1) {
+            clock.nowMs += 10;
+            const organisation = senders[(step * 7) % senders.length]!;
+            if (shedding.tryAdmit(createRequest(2, `new ${step}`, organisation))) {
+                shedding.recordAnswer("route", 2, admitted.length % 2 === 0 ? 0.6 : 0);
+                admitted.push(organisation);
+            }
+        }
+        const hotCount = admitted.filter(name => name === hotOrganisation).length;
+        const otherCount = admitted.length - hotCount;
+        expect(hotCount / 300).toBeLessThan(0.7);
+        expect(otherCount / 300).toBeGreaterThan(hotCount / 300 + 0.2);
+    });
+});
+
 describe("Shedding in part", () => {
     // Guards against a credit that is cut off, with which any share between a half and all admits a half.
     it("admits the share of the requests that the admission probability says", () => {
@@ -81,7 +110,7 @@
         const probability = shedding.readAdmissionProbability("route", 2);
         const admittedCount =
             Array.from({ length: 200 }, (unused, index) => `new ${index}`).filter(identity =>
-                shedding.tryAdmit("route", 2, identity)
+                shedding.tryAdmit(createRequest(2, identity))
             ).length;
         expect(probability).toBeGreaterThan(0.6);
         expect(probability).toBeLessThan(0.97);
@@ -96,7 +125,7 @@
         measureAdmittedShare(shedding, clock, 6, 1);
         [100, 1_000].forEach(pauseMs => {
             clock.nowMs += pauseMs;
-            shedding.tryAdmit("route", 2, `after ${pauseMs}`);
+            shedding.tryAdmit(createRequest(2, `after ${pauseMs}`));
         });
         expect(shedding.readAdmissionProbability("route", 2)).toBeLessThan(0.5);
     });
@@ -106,7 +135,7 @@
         measureAdmittedShare(shedding, clock, 6, 1);
         for (let second = 0; second < 6; second += 1) {
             clock.nowMs += 1_000;
-            shedding.tryAdmit("route", 2, `late ${second}`);
+            shedding.tryAdmit(createRequest(2, `late ${second}`));
         }
         expect(shedding.readAdmissionProbability("route", 2)).toBe(1);
     });
@@ -120,14 +149,14 @@
         for (let index = 0; shedIdentities.length < 20; index += 1) {
             clock.nowMs += 1;
             const identity = `request ${index}`;
-            if (!shedding.tryAdmit("route", 2, identity)) {
+            if (!shedding.tryAdmit(createRequest(2, identity))) {
                 shedIdentities.push(identity);
             }
         }
         const admittedReturningCount =
-            shedIdentities.slice(0, 4).filter(identity => shedding.tryAdmit("route", 2, identity)).length;
+            shedIdentities.slice(0, 4).filter(identity => shedding.tryAdmit(createRequest(2, identity))).length;
         const admittedNewCount =
-            ["a", "b", "c", "d"].filter(identity => shedding.tryAdmit("route", 2, identity)).length;
+            ["a", "b", "c", "d"].filter(identity => shedding.tryAdmit(createRequest(2, identity))).length;
         expect(admittedReturningCount).toBeGreaterThan(1);
         expect(admittedNewCount).toBe(0);
     });
