--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -35,6 +35,7 @@
 export class EntryCall implements SendHandler {
     private readonly startedAtMs: number;
     private readonly requestId: string;
+    private readonly host: string;
     /** The request that the local upstream was serving when it sent this nested one; undefined for a direct request. */
     private readonly parent: ActiveRequest | undefined;
     private route: Route | undefined;
@@ -53,15 +54,15 @@
     ) {
         this.startedAtMs = dependencies.readNowMs();
         this.requestId = findHeader(request.rawHeaders, dependencies.headerNames.requestId) ?? "";
+        this.host = findHeader(request.rawHeaders, "host") ?? "";
         this.caller = new CallerOrganisation(dependencies.organisations);
         this.parent = dependencies.activeRequests.findParent(this.requestId);
     }
 
     start(): void {
         const { routing, wheel } = this.dependencies;
-        const host = findHeader(this.request.rawHeaders, "host") ?? "";
-        this.route = routing.findRoute(host, this.request.url);
-        const problem = this.findProblem(host);
+        this.route = routing.findRoute(this.host, this.request.url);
+        const problem = this.findProblem();
         if (problem) {
             this.refuse(problem);
             return;
@@ -87,8 +88,8 @@
         const { routing, shedding, sampleRandom } = this.dependencies;
         const { name, targetLatencyMs } = this.route!;
         const rank = this.caller.readRank(this.route!);
-        const { name: organisation } = this.caller;
-        if (!this.parent && !shedding.tryAdmit({ route: name, rank, organisation, identity: this.identity })) {
+        const directRequest = { route: name, rank, organisation: this.caller.name, identity: this.identity };
+        if (!this.parent && !shedding.tryAdmit(directRequest)) {
             this.caller.releaseToken();
             this.refuse(describeShed(shedding.readAdmissionProbability(name, rank), targetLatencyMs, sampleRandom()));
             return;
@@ -143,14 +144,14 @@
     }
 
     /** Returns a problem if the request must be refused before its body is read. Also sets `deadlineAtMs`. */
-    private findProblem(host: string): Problem | undefined {
+    private findProblem(): Problem | undefined {
         const { routing, headerNames, readStaleMs, computeTimeLeftMs } = this.dependencies;
         const { route } = this;
         if (!routing.table) {
             return noRoutingProblem;
         }
         if (!route) {
-            return describeUnknownRoute(host, routing.version);
+            return describeUnknownRoute(this.host, routing.version);
         }
         const hasParentId = this.requestId.includes(headerNames.callSeparator);
         const keyProblem = this.parent ? undefined : this.caller.identify(this.request, route, hasParentId);
@@ -169,7 +170,7 @@
 
     /** Identity by which a request that was shed is recognized when it returns. */
     private get identity(): string {
-        return (findHeader(this.request.rawHeaders, "host") ?? "") + this.request.url;
+        return this.host + this.request.url;
     }
 
     /** Creates the headers that upstreams receive; the key is not among them, but the name of its organisation is. */
