Ask the holder at once for requests that came while it was being asked

Cause: since a node waited 100 ms before it asked again if any request of the organisation was left, though only an answer 'unknown' is a reason to wait; a second request within a query's round trip got its token late.

Test: two requests 1 ms apart; the second had no token after 30 ms before.

--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -3,7 +3,7 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type Address } from "../../types";
 import { type HopAnswerFields, parseHopAnswer } from "../hop/headers";
-import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
+import { type TokenAnswer, type TokenQuery } from "../organisations/tokenMessages";
 import { type HopHandler, type HopRequest, type HopResult } from "../types";
 import { type Frame, frameKinds } from "./frames";
 import { FrameSocket } from "./frameSocket";
--- a/src/relay/link/linkServer.ts
+++ b/src/relay/link/linkServer.ts
@@ -9,7 +9,7 @@
     type HopRequestFields,
     parseHopRequest,
 } from "../hop/headers";
-import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
+import { type TokenAnswer, type TokenQuery } from "../organisations/tokenMessages";
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport } from "../types";
 import { type Frame, frameKinds } from "./frames";
 import { FrameSocket } from "./frameSocket";
--- a/src/relay/link/parseTokens.ts
+++ b/src/relay/link/parseTokens.ts
@@ -1,5 +1,5 @@
 /** Checks token queries and their answers before they are used. Another node may run another version. */
-import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
+import { type TokenAnswer, type TokenQuery } from "../organisations/tokenMessages";
 
 type Fields = Readonly<Record<string, unknown>>;
 
--- a/src/relay/organisations/quotaTokens.test.ts
+++ b/src/relay/organisations/quotaTokens.test.ts
@@ -83,7 +83,8 @@
         return count(this.grantedAtMs) / (count(this.grantedAtMs) + count(this.refusedAtMs));
     }
 
-    private sendRequest({ tokens }: QuotaNode): void {
+    /** Sends a request of the organisation at a node. */
+    sendRequest({ tokens }: QuotaNode): void {
         const atMs = this.clock.readMonotonicMs();
         tokens.take(
             { name: "org-1", keyDigests: [], quota },
@@ -114,6 +115,20 @@
     }
 }
 
+describe("a request that comes while the holder is being asked", () => {
+    it("gets its token with the next answer", async () => {
+        const fleet = new QuotaFleet();
+        await fleet.runFor(5_000, false);
+        const [, node] = fleet.nodes;
+        fleet.sendRequest(node!);
+        await new Promise(resolve => setImmediate(resolve));
+        fleet.clock.runUntil(fleet.clock.readMonotonicMs() + 1);
+        fleet.sendRequest(node!);
+        await fleet.runFor(30, false);
+        expect(fleet.grantedAtMs).toHaveLength(2);
+    });
+});
+
 describe("an organisation within its quota", () => {
     it("is let in on a calm day", async () => {
         const fleet = new QuotaFleet();
--- a/src/relay/organisations/quotaTokens.ts
+++ b/src/relay/organisations/quotaTokens.ts
@@ -1,29 +1,12 @@
 /** Lets requests of an organisation in within its quota, with tokens of the node that holds the shares of the others. */
 import { ShareLedger } from "../../decisions/shareLedger";
-import { loanMs, type LoanTerms, type LoanTicket, ShareLoans } from "../../decisions/shareLoans";
+import { loanMs, type LoanTerms, ShareLoans } from "../../decisions/shareLoans";
 import { type QuotaBounds, splitQuota } from "../../decisions/splitQuota";
 import { type Organisation, type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { type Clock } from "../../tasks/_lib/clock";
 import { HeldTokens, type QuotaVerdict } from "./heldTokens";
 import { HolderChoice } from "./holderChoice";
-
-/** Tokens that a node asks another one for, and the terms of its loan to that node. */
-export interface TokenQuery extends LoanTerms {
-    /** Whether the asking node wants its share back. */
-    readonly isReclaim: boolean;
-    readonly wants: readonly (readonly [organisation: string, count: number])[];
-}
-
-/** Answer to a `TokenQuery`. */
-export interface TokenAnswer extends LoanTicket {
-    /** Whether the answering node has ended the loan, as the query has asked. */
-    readonly isReturned: boolean;
-    /**
-     * For each wanted organisation the number of tokens, and the time until there is one, in milliseconds; a negative
-     * time if the answering node can't know whether the quota is exceeded.
-     */
-    readonly grants: readonly (readonly [count: number, waitMs: number])[];
-}
+import { emptyTokenQuery, type TokenAnswer, type TokenQuery } from "./tokenMessages";
 
 /** Place of the node, bounds, and means to ask other nodes. */
 export interface QuotaTokensDependencies {
@@ -65,7 +48,7 @@
     private readonly loans: ShareLoans;
     private holder: string;
     private isQuerying = false;
-    private isProbing = false;
+    private isPinging = false;
     private isRetryScheduled = false;
     private hasQuotas = false;
     private stopRenewal: (() => void) | undefined;
@@ -207,21 +190,12 @@
     private pingPreferred(): void {
         const nowMs = this.readNowMs();
         const preferred = this.holders.choose(nowMs);
-        if (this.isProbing || preferred === this.holder || preferred === this.dependencies.host) {
+        if (this.isPinging || preferred === this.holder || preferred === this.dependencies.host) {
             return;
         }
-        this.isProbing = true;
-        const probe = {
-            ticketMs: 0,
-            incarnation: "",
-            serial: 0,
-            share: 0,
-            isFirst: false,
-            isReclaim: false,
-            wants: [],
-        };
-        this.queryNode(preferred, probe, answer => {
-            this.isProbing = false;
+        this.isPinging = true;
+        this.queryNode(preferred, emptyTokenQuery, answer => {
+            this.isPinging = false;
             this.recordAnswer(preferred, answer);
             if (answer) {
                 this.query();
@@ -259,16 +233,19 @@
         if (isReturned) {
             this.loans.recordReturn();
         }
+        const grants = wanting.map((unused, index) => answer?.grants[index] ?? [0, unknownQuotaMs] as const);
         wanting.forEach(([, tokens], index) => {
-            tokens.applyGrant(answer?.grants[index] ?? [0, unknownQuotaMs], nowMs);
+            tokens.applyGrant(grants[index]!, nowMs);
             tokens.refuseOverdue(nowMs);
         });
         if (!answer || isReturned || !couldLend && this.loans.canLend(host, nowMs)) {
             this.query();
             return;
         }
-        if ([...this.organisations.values()].some(({ isWaiting }) => isWaiting)) {
-            this.scheduleQuery(wanting.some(([, { isWaiting }]) => isWaiting) ? unknownRetryMs : 0);
+        const unknown = new Set(wanting.filter((unused, index) => grants[index]![1] < 0).map(([, tokens]) => tokens));
+        const waiting = [...this.organisations.values()].filter(({ isWaiting }) => isWaiting);
+        if (waiting.length > 0) {
+            this.scheduleQuery(waiting.every(tokens => unknown.has(tokens)) ? unknownRetryMs : 0);
         }
     }
 
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -6,7 +6,7 @@
 import { encodeHopRequest } from "../hop/headers";
 import { RemoteHop } from "../hop/remoteHop";
 import { LinkClient } from "../link/linkClient";
-import { type TokenAnswer, type TokenQuery } from "../organisations/quotaTokens";
+import { type TokenAnswer, type TokenQuery } from "../organisations/tokenMessages";
 import { type HopHandler, type HopRequest, type LoadReport } from "../types";
 
 /** Maximum number of links to one node. Requests are spread over links, so that a lost packet delays only some. */
--- a/src/relay/peers/tokenQueries.test.ts
+++ b/src/relay/peers/tokenQueries.test.ts
@@ -4,12 +4,11 @@
 import { TimerWheel } from "../../tasks/_lib/timerWheel";
 import { createReport } from "../../testing/createReport";
 import { openLinkListener } from "../link/linkServer";
-import { type TokenAnswer } from "../organisations/quotaTokens";
+import { emptyTokenQuery, type TokenAnswer } from "../organisations/tokenMessages";
 import { Peers } from ".";
 
 const host = "127.0.0.1";
 const answer: TokenAnswer = { ticketMs: 7, incarnation: "i-1", isReturned: false, grants: [] };
-const query = { ticketMs: 0, incarnation: "", serial: 0, share: 0, isFirst: false, isReclaim: false, wants: [] };
 
 const servers: Server[] = [];
 const sockets: Socket[] = [];
@@ -56,7 +55,7 @@
         });
         peers.start();
         const sendQuery = (): Promise<TokenAnswer | undefined> =>
-            new Promise(resolve => peers.queryTokens(host, query, resolve));
+            new Promise(resolve => peers.queryTokens(host, emptyTokenQuery, resolve));
         expect(await sendQuery()).toBeUndefined();
         expect(await sendQuery()).toEqual(answer);
     });
