--- a/bench/loads/heavyLoads.ts
+++ b/bench/loads/heavyLoads.ts
@@ -3,7 +3,7 @@
 import { createFanOutLoad, fanOutRoutes } from "../../src/testing/createFanOutLoad";
 import { type createVirtualLoad } from "../../src/testing/createVirtualLoad";
 import { type VirtualRelayCallers } from "../../src/testing/virtualRelayCallers";
-import { type HeavyLoad, type ValuedRoute } from "./index";
+import { type HeavyLoad, type ValuedRoute } from "./types";
 
 const surgeEndMs = 16_000;
 const endMs = 28_000;
--- a/bench/loads/index.ts
+++ b/bench/loads/index.ts
@@ -4,6 +4,7 @@
 import { type Route } from "../../src/routing/types";
 import { type RequestCounts, type VirtualRelayCallers } from "../../src/testing/virtualRelayCallers";
 import { heavyLoads } from "./heavyLoads";
+import { type HeavyLoad, type ValuedRoute } from "./types";
 
 /** Folder for the results, and seeds of the loads. */
 export interface LoadsOptions {
@@ -14,22 +15,6 @@
     readonly only: string | undefined;
 }
 
-/** Route that callers use, and what its answers are worth to them. */
-export interface ValuedRoute {
-    readonly route: Route;
-    /** Worth of an answer within the target latency. */
-    readonly worth: number;
-    /** Share of that worth which a later answer still has. */
-    readonly lateShare: number;
-}
-
-/** A load pattern; `run` plays it on a new virtual clock. */
-export interface HeavyLoad {
-    readonly name: string;
-    readonly valuedRoutes: readonly ValuedRoute[];
-    readonly run: (seed: number) => VirtualRelayCallers;
-}
-
 const columns = ["LOAD", "ROUTE", "SENT", "IN TARGET", "LATE", "REFUSED", "FAILED", "WORTH"];
 /** First and last second of the loads that count. */
 const fromSecond = 1;
