--- a/src/relay/overload.test.ts
+++ b/src/relay/overload.test.ts
@@ -1,5 +1,6 @@
 import { type Route } from "../routing/types";
 import { chainRoutes, createChainLoad } from "../testing/createChainLoad";
+import { createDeepReadLoad, deepReadRoutes } from "../testing/createDeepReadLoad";
 import { createFanOutLoad, fanOutRoutes } from "../testing/createFanOutLoad";
 import { type RequestCounts, type VirtualRelayCallers } from "../testing/virtualRelayCallers";
 
@@ -35,6 +36,19 @@
     });
 });
 
+describe("a usual load that keeps nine tenths of a service deep in the graph busy", () => {
+    // Guards against refusing every other request of a route as soon as an answer reports some congestion.
+    it("is served but for a few less important requests", () => {
+        const computeShare = runSeeds(seed => {
+            const { clock, callers } = createDeepReadLoad(seed, () => 1);
+            clock.runUntil(endMs);
+            return callers;
+        });
+        expect(computeShare(deepReadRoutes.booking, "inTarget")).toBeGreaterThan(0.98);
+        expect(computeShare(deepReadRoutes.lookup, "inTarget")).toBeGreaterThan(0.95);
+    });
+});
+
 describe("an overload while a nested service lacks one of three instances", () => {
     /**
      * Share of the lookups that the remaining slots could serve in addition to all bookings if no slot time were
