Build what the admission needs only for direct requests, and look a route's admission up once

Since nested requests, which are most of them, built the identity and the record for an admission that they never ask for; each answer updated the admission of its own rank twice, and each look-up wrote two maps. Behaviour is the same. A share that was returned has no borrower to forget, and recent demand is read-only.

Processor time was not measured; it is too little to show.

--- a/src/decisions/shareLoans/index.ts
+++ b/src/decisions/shareLoans/index.ts
@@ -83,7 +83,6 @@
 
     /** Records that the borrower has given the share back after the latest call of `createReclaim`. */
     recordReturn(): void {
-        this.currentBorrower = undefined;
         this.lentUntilMs = -Infinity;
     }
 
--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -85,16 +85,13 @@
 
     /** Sheds the request, or reads its body and sends it. */
     private tryAdmit(): void {
-        const { routing, shedding, sampleRandom } = this.dependencies;
-        const { name, targetLatencyMs } = this.route!;
-        const rank = this.caller.readRank(this.route!);
-        const directRequest = { route: name, rank, organisation: this.caller.name, identity: this.identity };
-        if (!this.parent && !shedding.tryAdmit(directRequest)) {
+        const shedProblem = this.parent ? undefined : this.findShedProblem();
+        if (shedProblem) {
             this.caller.releaseToken();
-            this.refuse(describeShed(shedding.readAdmissionProbability(name, rank), targetLatencyMs, sampleRandom()));
+            this.refuse(shedProblem);
             return;
         }
-        const maxBytes = routing.limits?.maxBodyBytes ?? 0;
+        const maxBytes = this.dependencies.routing.limits?.maxBodyBytes ?? 0;
         this.request.readBody({ buffered: false, maxBytes }, result => {
             if (this.isComplete) {
                 return;
@@ -168,9 +165,16 @@
         return undefined;
     }
 
-    /** Identity by which a request that was shed is recognized when it returns. */
-    private get identity(): string {
-        return this.host + this.request.url;
+    /** Returns a problem if a direct request is shed. A shed one is recognized by host and path when it returns. */
+    private findShedProblem(): Problem | undefined {
+        const { shedding, sampleRandom } = this.dependencies;
+        const { name, targetLatencyMs } = this.route!;
+        const rank = this.caller.readRank(this.route!);
+        const identity = this.host + this.request.url;
+        if (shedding.tryAdmit({ route: name, rank, organisation: this.caller.name, identity })) {
+            return undefined;
+        }
+        return describeShed(shedding.readAdmissionProbability(name, rank), targetLatencyMs, sampleRandom());
     }
 
     /** Creates the headers that upstreams receive; the key is not among them, but the name of its organisation is. */
--- a/src/relay/shedding/index.ts
+++ b/src/relay/shedding/index.ts
@@ -106,7 +106,7 @@
      * congestion a less important one would too, and where the latter meets none the former wouldn't either.
      */
     recordAnswer(route: string, rank: number, congestion: number): void {
-        this.updateAdmission(route, rank);
+        this.getAdmission(route, rank);
         this.admissions.get(route)!.forEach((unused, otherRank) => {
             const isTelling = otherRank === rank || (congestion > 0 ? otherRank > rank : otherRank < rank);
             if (isTelling) {
@@ -152,20 +152,24 @@
         return Math.min(1, probability / admission.fairBias);
     }
 
-    private getAdmission(route: string, rank: number, nowMs: number): RouteAdmission {
-        const byRank = this.admissions.get(route) ?? new Map<number, RouteAdmission>();
-        this.admissions.set(route, byRank);
-        const admission = byRank.get(rank) ?? {
+    /** Returns the admission state of a route and rank as it is; creates it if there is none. */
+    private getAdmission(route: string, rank: number): RouteAdmission {
+        const known = this.admissions.get(route)?.get(rank);
+        if (known) {
+            return known;
+        }
+        const created: RouteAdmission = {
             probability: 1,
             credit: 1,
             answers: 0,
             congestionSum: 0,
-            windowStartMs: nowMs,
+            windowStartMs: this.readNowMs(),
             fairLevel: undefined,
             fairBias: 1,
         };
-        byRank.set(rank, admission);
-        return admission;
+        const byRank = this.admissions.get(route) ?? new Map<number, RouteAdmission>();
+        this.admissions.set(route, byRank.set(rank, created));
+        return created;
     }
 
     private computeDecayedCongestion(nestedCongestion: NestedCongestion): number {
@@ -178,7 +182,7 @@
     /** Returns the admission state of a route and rank; updates its probability first if the window is over. */
     private updateAdmission(route: string, rank: number): RouteAdmission {
         const nowMs = this.readNowMs();
-        const admission = this.getAdmission(route, rank, nowMs);
+        const admission = this.getAdmission(route, rank);
         const elapsedMs = nowMs - admission.windowStartMs;
         const isWindowOver = admission.answers > 0 ? elapsedMs >= updateWindowMs : elapsedMs >= idleWindowMs;
         if (!isWindowOver) {
--- a/src/relay/shedding/recentDemand.ts
+++ b/src/relay/shedding/recentDemand.ts
@@ -3,8 +3,8 @@
 import { computeFairLevel } from "../../decisions/computeFairLevel";
 
 interface Demand {
-    count: number;
-    updatedAtMs: number;
+    readonly count: number;
+    readonly updatedAtMs: number;
 }
 
 /** Time constant with which past requests are forgotten, in milliseconds. */
@@ -20,8 +20,8 @@
 
     /** Records a request, and returns the number of earlier recent ones of its organisation. */
     record(organisation: string, nowMs: number): number {
-        const demand = this.demands.get(organisation) ?? { count: 0, updatedAtMs: nowMs };
-        const earlier = computeDecayed(demand, nowMs);
+        const demand = this.demands.get(organisation);
+        const earlier = demand ? computeDecayed(demand, nowMs) : 0;
         this.demands.set(organisation, { count: earlier + 1, updatedAtMs: nowMs });
         return earlier;
     }
