Add up request counts and read both clocks in one place each

Found in reading the whole change: bench loads repeated the sum of VirtualRelayCallers.count, and Peers.send the reading of both clocks that TableProof has. addRequestCounts and readInstant serve both now.

--- a/bench/loads/index.ts
+++ b/bench/loads/index.ts
@@ -1,8 +1,7 @@
 /** Plays heavy loads on relay nodes on a virtual clock, and reports what the callers got. */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { renderTable } from "../../src/commands/_lib/renderTable";
-import { type Route } from "../../src/routing/types";
-import { type RequestCounts, type VirtualRelayCallers } from "../../src/testing/virtualRelayCallers";
+import { addRequestCounts, type RequestCounts, type VirtualRelayCallers } from "../../src/testing/virtualRelayCallers";
 import { heavyLoads } from "./heavyLoads";
 import { type HeavyLoad, type ValuedRoute } from "./types";
 
@@ -22,16 +21,6 @@
 /** Width of the bar of a second whose requests were all worth what they could be, in characters. */
 const barWidth = 40;
 
-const addCounts = (runs: readonly VirtualRelayCallers[], route: Route, from: number, to: number): RequestCounts => {
-    const sum: RequestCounts = { sent: 0, inTarget: 0, late: 0, refused: 0, failed: 0 };
-    runs.map(callers => callers.count(route, from, to)).forEach(counts =>
-        (Object.keys(sum) as (keyof RequestCounts)[]).forEach(key => {
-            sum[key] += counts[key];
-        })
-    );
-    return sum;
-};
-
 /** Computes the share of the worth that all requests could have had, 0 to 1. */
 const computeWorth = (
     runs: readonly VirtualRelayCallers[],
@@ -40,7 +29,7 @@
     to: number,
 ): number => {
     const sums = routes.map(({ route, worth, lateShare }) => {
-        const { sent, inTarget, late } = addCounts(runs, route, from, to);
+        const { sent, inTarget, late } = addRequestCounts(runs.map(callers => callers.count(route, from, to)));
         return { possible: worth * sent, reached: worth * (inTarget + lateShare * late) };
     });
     const sum = (key: "possible" | "reached"): number => sums.reduce((total, entry) => total + entry[key], 0);
@@ -49,7 +38,7 @@
 
 const createRows = ({ name, valuedRoutes }: HeavyLoad, runs: readonly VirtualRelayCallers[]) => [
     ...valuedRoutes.map(valued => {
-        const counts = addCounts(runs, valued.route, fromSecond, toSecond);
+        const counts = addRequestCounts(runs.map(callers => callers.count(valued.route, fromSecond, toSecond)));
         const formatShare = (key: keyof RequestCounts): string => (counts[key] / Math.max(1, counts.sent)).toFixed(3);
         return [
             name,
--- a/src/relay/fleet/tableProof.ts
+++ b/src/relay/fleet/tableProof.ts
@@ -1,6 +1,6 @@
 /** Up to which time the routing table of this node is known to have been the newest of the store. */
 import { computeAge } from "../../decisions/computeAge";
-import { type Clock } from "../../tasks/_lib/clock";
+import { type Clock, readInstant } from "../../tasks/_lib/clock";
 import { type Instant } from "../../types";
 
 /** What another place says of the newest table. */
@@ -23,7 +23,7 @@
     constructor(private readonly clock: Pick<Clock, "readMonotonicMs" | "readWallMs">) {}
 
     readNow(): Instant {
-        return { monotonicMs: this.clock.readMonotonicMs(), wallMs: this.clock.readWallMs() };
+        return readInstant(this.clock);
     }
 
     /** Returns the longest time for which the node's table may have been outdated, in ms; Infinity if unknown. */
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -1,5 +1,5 @@
 /** Sends requests to other nodes, and detects nodes that have become unresponsive. */
-import { type Clock } from "../../tasks/_lib/clock";
+import { type Clock, readInstant } from "../../tasks/_lib/clock";
 import { type TimerWheel } from "../../tasks/_lib/timerWheel";
 import { type Address, type Instant } from "../../types";
 import { ConnectionPool } from "../connectionPool";
@@ -80,8 +80,7 @@
     /** Sends a request over HTTP if its body is streamed, else over a link; returns a function that cancels it. */
     send(host: string, hopRequest: HopRequest, handler: HopHandler): CancelHop {
         const peer = this.getPeer(host);
-        const { readMonotonicMs, readWallMs } = this.dependencies.clock;
-        const askedAt: Instant = { monotonicMs: readMonotonicMs(), wallMs: readWallMs() };
+        const askedAt = readInstant(this.dependencies.clock);
         const trackingHandler: HopHandler = {
             openStream: head => handler.openStream(head),
             settle: (result, report) => {
--- a/src/tasks/_lib/clock.ts
+++ b/src/tasks/_lib/clock.ts
@@ -1,3 +1,5 @@
+import { type Instant } from "../../types";
+
 /** Reads the time and runs timers; tests use a virtual clock instead. */
 export interface Clock {
     /** Monotonic time in milliseconds. */
@@ -10,6 +12,14 @@
     readonly startTimeout: (delayMs: number, handle: () => void) => () => void;
 }
 
+/** Reads both clocks. */
+export const readInstant = (
+    { readMonotonicMs, readWallMs }: Pick<Clock, "readMonotonicMs" | "readWallMs">,
+): Instant => ({
+    monotonicMs: readMonotonicMs(),
+    wallMs: readWallMs(),
+});
+
 /** Resolves after a delay, in milliseconds. */
 export const awaitDelay = (clock: Clock, delayMs: number): Promise<void> =>
     new Promise(resolve => {
--- a/src/testing/virtualRelayCallers.ts
+++ b/src/testing/virtualRelayCallers.ts
@@ -33,6 +33,18 @@
     failed: number;
 }
 
+/** Adds up counts. */
+export const addRequestCounts = (counts: readonly RequestCounts[]): RequestCounts => {
+    const sum: RequestCounts = { sent: 0, inTarget: 0, late: 0, refused: 0, failed: 0 };
+    const keys = Object.keys(sum) as (keyof RequestCounts)[];
+    counts.forEach(entry =>
+        keys.forEach(key => {
+            sum[key] += entry[key];
+        })
+    );
+    return sum;
+};
+
 interface PendingRequest {
     readonly requestClass: RequestClass;
     readonly id: string;
@@ -70,14 +82,8 @@
 
     /** Sums the counts of a route over requests that started in [fromSecond, toSecond). */
     count(route: Route, fromSecond: number, toSecond: number): RequestCounts {
-        const sum: RequestCounts = { sent: 0, inTarget: 0, late: 0, refused: 0, failed: 0 };
-        for (let second = fromSecond; second < toSecond; second += 1) {
-            const counts = this.getCounts(route, second * windowMs);
-            (Object.keys(sum) as (keyof RequestCounts)[]).forEach(key => {
-                sum[key] += counts[key];
-            });
-        }
-        return sum;
+        const seconds = Array.from({ length: toSecond - fromSecond }, (unused, index) => fromSecond + index);
+        return addRequestCounts(seconds.map(second => this.getCounts(route, second * windowMs)));
     }
 
     private scheduleNext(requestClass: RequestClass): void {
