--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,7 +3,7 @@
 import { createConfig, Readiness, runCase, sleep } from "../lib/fleet.mjs";
 
 const recordFile = new URL("record.txt", import.meta.url).pathname;
-const clientCount = 40;
+const clientCount = 24;
 /** Requests that a client has under way on its connection at most, and the mean of its pauses between two of them. */
 const depth = 8;
 const meanPauseMs = 150;
@@ -13,7 +13,7 @@
 const stopAtMs = 2_500;
 /** Pause between the stops of two machines, and the delay until a node that has ended starts again. */
 const gapMs = 1_300;
-const restartMs = 1_000;
+const restartMs = 2_000;
 const graceMs = 6_000;
 
 const host = "barges.example";
