--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -10,8 +10,12 @@
 const cutMs = 5_500;
 const drainMs = 2_000;
 /** Time for which an endpoint serves beyond `drain` before it exits. */
-const exitAfterMs = 600;
-const callEveryMs = 50;
+const exitAfterMs = 500;
+/** It is a quiet night: clients of the node book before the cut, and again these times after the acknowledgement. */
+const bookingTimesMs = [2_250, 5_500];
+const bookingsAtOnce = 3;
+/** Pause between the other requests of these clients, which go to another service. */
+const otherEveryMs = 100;
 /** Work of one request, as for sweep-submit on the sheet. */
 const workMs = 290;
 
@@ -58,23 +62,31 @@
     await sleep(8_000);
     const [cut, drained] = chooseMachines(fleet);
     fleet.note(`${cut.name} watches the store, ${drained.name} asks ${cut.name}`);
+    const other = fleet.machines.find(({ zone, service }) => zone !== drained.zone && service !== drained.service);
     const calls = [];
+    const call = (name, { service }) =>
+        calls.push(callOnce({ host: drained.host, port: fleet.port + 2 }, {
+            method: "POST",
+            host: `${service}.example`,
+            path: `/read/${name}`,
+            id: name,
+            deadlineMs: 2_000,
+        }));
+    const book = time => {
+        for (let count = 1; count <= bookingsAtOnce; count += 1) {
+            call(`booking-${time}-${count}`, drained);
+        }
+    };
     let isEnded = false;
-    const runCaller = async () => {
+    const runOthers = async () => {
         for (let count = 1; !isEnded; count += 1) {
-            const id = `call-${count}`;
-            calls.push(callOnce({ host: drained.host, port: fleet.port + 2 }, {
-                method: "POST",
-                host: `${drained.service}.example`,
-                path: `/read/${id}`,
-                id,
-                deadlineMs: 2_000,
-            }));
-            await sleep(callEveryMs);
+            call(`other-${count}`, other);
+            await sleep(otherEveryMs);
         }
     };
-    const callers = runCaller();
+    const others = runOthers();
     await awaitWatch(cut);
+    book("before");
     await sleep(300);
     if (isTroubled) {
         fleet.note(`${cut.name} is cut off from the store`);
@@ -86,13 +98,14 @@
     drained.endpoint.isLeaving = true;
     const acknowledgedAtMs = fleet.register(drained);
     fleet.note(`the store acknowledges that ${drained.endpoint.id} drains`);
+    bookingTimesMs.forEach(delayMs => setTimeout(() => book(delayMs), delayMs));
     await sleep(drainMs + exitAfterMs);
     fleet.note(`${drained.endpoint.id} exits`);
     fleet.remove(drained);
     drained.endpoint.close();
     await sleep(4_000);
     isEnded = true;
-    await callers;
+    await others;
     const results = new Map((await Promise.all(calls)).map(call => [call.id, call]));
     const runs = drained.endpoint.runs.filter(({ atMs }) => atMs > acknowledgedAtMs);
     runs.forEach(({ id, atMs }) => {
@@ -102,11 +115,13 @@
         } ms after the acknowledgement`;
         fleet.note(`${id}: ${delays}; ${answer ? `answered ${answer.status}` : "no answer"}`);
     });
+    [...results.values()].filter(({ id }) => id.startsWith("booking")).forEach(({ id, sentAtMs, answer }) => {
+        const ended = answer ? `answered ${answer.status}` : "no answer";
+        fleet.note(`${id}: sent ${sentAtMs - acknowledgedAtMs} ms after the acknowledgement; ${ended}`);
+    });
     const late = runs.filter(({ id, atMs }) =>
         atMs > acknowledgedAtMs + drainMs && results.get(id).sentAtMs > acknowledgedAtMs + drainMs
     );
-    const failed = [...results.values()].filter(({ answer }) => answer?.status !== 200);
-    failed.forEach(({ id, answer }) => fleet.note(`${id}: ${answer ? `answered ${answer.status}` : "no answer"}`));
     fleet.note(`${calls.length} requests, ${late.length} sent and run later than drain`);
     return late.length > 0 ? [`DRAIN: ${late.length} requests reached ${drained.endpoint.id} later than drain`] : [];
 });
--- a/review/lib/endpoint.mjs
+++ b/review/lib/endpoint.mjs
@@ -83,7 +83,7 @@
             "request-id": id,
             "server-signature": `sig.${this.id}.${id}`,
             "content-length": body.length,
-            ...this.isLeaving ? { connection: "close" } : {},
+            ...this.isLeaving ? { connection: "close", "server-leaving": "1" } : {},
         });
         response.end(body);
     }
