--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,82 +1,122 @@
-/** A request crashes each endpoint that runs it and comes again, while few other requests are under way. */
-import { setTimeout } from "node:timers";
-import { callOnce } from "../lib/client.mjs";
-import { createConfig, runCase, sleep } from "../lib/fleet.mjs";
+/** Nodes are stopped and started in turn while clients send further safe requests before the first is answered. */
+import { Connection } from "../lib/client.mjs";
+import { createConfig, Readiness, runCase, sleep } from "../lib/fleet.mjs";
 
 const recordFile = new URL("record.txt", import.meta.url).pathname;
-const service = "netlist-store";
-const host = "netlists.example";
-const poisonPath = "/fetch/poison";
-/** Time until a crashed endpoint is back, and the pause between two attempts of the request's client. */
-const downMs = 3_000;
-const comesAgainMs = 2_500;
-const attempts = 16;
-const stableWindowMs = 3_000;
-const maxRetries = 3;
-/** Pause between two other requests. */
-const otherEveryMs = 4_000;
+const clientCount = 24;
+/** Requests that a client has under way on its connection at most, and the mean of its pauses between two of them. */
+const depth = 8;
+const meanPauseMs = 150;
+/** Pause after a connection without any answer. */
+const refusedPauseMs = 500;
+const runForMs = 12_000;
+const stopAtMs = 2_500;
+/** Pause between the stops of two machines, and the delay until a node that has ended starts again. */
+const gapMs = 1_300;
+const restartMs = 2_000;
+const graceMs = 6_000;
 
-const config = createConfig(12, [{ name: "netlist-fetch", host, prefix: "/fetch/", type: "safe", service }], [service]);
+const host = "barges.example";
+const config = createConfig(12, [
+    {
+        name: "barge-status",
+        host,
+        prefix: "/status/",
+        type: "safe",
+        service: "fleetwatch",
+        timeout: "1200ms",
+        aim: "600ms",
+    },
+], ["fleetwatch", "slotbook"]);
+
+/** Work times as for barge-status on the sheet: 220 ms in the mean, a spread of 0.3, one in a hundred five times as long. */
+const readWork = request => Number(new URL(request.url, "http://x").searchParams.get("ms"));
+const drawNormal = () => Math.sqrt(-2 * Math.log(1 - Math.random())) * Math.cos(2 * Math.PI * Math.random());
+const drawWork = () => {
+    const workMs = 220 * Math.exp(0.3 * drawNormal() - 0.045) * (Math.random() < 0.01 ? 5 : 1);
+    return Math.round(Math.min(1_700, workMs));
+};
+const drawPause = () => -meanPauseMs * Math.log(1 - Math.random());
 
 await runCase(recordFile, async (fleet, isTroubled) => {
-    const crashes = [];
-    const machineOf = id => fleet.machines.find(({ endpoint }) => endpoint.id === id);
-    const crash = run => {
-        const { endpoint } = machineOf(run.endpoint);
-        crashes.push(run);
-        fleet.note(`${run.endpoint} crashes while it runs ${run.id}`);
-        endpoint.crash();
-        setTimeout(() => {
-            void endpoint.open().then(() => fleet.note(`${run.endpoint} is back`));
-        }, downMs);
-    };
-    const onRun = run => isTroubled && run.path === poisonPath && setTimeout(() => crash(run), 30);
-    await fleet.start(
-        ["porto-a", "porto-b", "braga-a", "aveiro-a"].map(zone => ({
-            name: zone,
-            zone,
-            service,
-            work: () => 220,
-            onRun,
-        })),
-        config,
-    );
+    await fleet.start([
+        { name: "slotbook-a", zone: "pvl-a", service: "slotbook" },
+        { name: "slotbook-b", zone: "pvl-a", service: "slotbook" },
+        { name: "fleetwatch-a", zone: "pvl-b", service: "fleetwatch", work: readWork },
+        { name: "fleetwatch-b", zone: "pvl-b", service: "fleetwatch", work: readWork },
+    ], config);
+    const readiness = new Readiness(fleet);
     await sleep(1_500);
-    let isEnded = false;
-    const callers = (async () => {
-        for (let count = 1; !isEnded; count += 1) {
-            const machine = fleet.machines[count % fleet.machines.length];
-            const id = `other-${count}`;
-            void callOnce({ host: machine.host, port: fleet.port + 2 }, {
-                host,
-                path: `/fetch/${id}`,
-                id,
-                deadlineMs: 6_000,
-            })
-                .then(({ answer }) => fleet.note(`${id}: ${answer ? `answered ${answer.status}` : "no answer"}`));
-            await sleep(otherEveryMs);
+    const stopped = fleet.machines.slice(0, 2);
+    const startedAtMs = Date.now();
+    const isOver = () => Date.now() > startedAtMs + runForMs;
+    const stopInTurn = async () => {
+        await sleep(stopAtMs);
+        for (const machine of stopped) {
+            machine.stopSentAtMs = Date.now();
+            fleet.signal(machine, "SIGTERM");
+            void machine.exited.then(async () => {
+                await sleep(restartMs);
+                fleet.startNode(machine);
+                fleet.note(`node ${machine.name} starts again`);
+            });
+            await sleep(gapMs);
+        }
+    };
+    const requests = [];
+    const runClient = async (machine, client) => {
+        const name = `${machine.name}-${client}`;
+        let count = 0;
+        let connection;
+        await sleep(drawPause());
+        while (!isOver()) {
+            if (connection?.isClosed && connection.requests.every(({ answer }) => !answer)) {
+                await sleep(refusedPauseMs);
+            }
+            if (!connection || connection.isClosed || connection.isClosing) {
+                connection = new Connection({ host: machine.host, port: fleet.port + 2 });
+            }
+            const pending = connection.requests.filter(({ answer }) => !answer).length;
+            if (pending < depth && readiness.hasNewWork(machine)) {
+                count += 1;
+                const id = `${name}-${count}`;
+                const request = connection.send({
+                    host,
+                    path: `/status/${id}?ms=${drawWork()}`,
+                    id,
+                    deadlineMs: 2_500,
+                });
+                requests.push({ request, connection, machine });
+            }
+            await sleep(drawPause());
+        }
+    };
+    await Promise.all([
+        ...stopped.flatMap(machine =>
+            Array.from({ length: clientCount }, (unused, client) => runClient(machine, client))
+        ),
+        isTroubled ? stopInTurn() : undefined,
+    ]);
+    await sleep(3_000);
+    readiness.stop();
+    const runs = new Map(fleet.machines.flatMap(({ endpoint }) => endpoint.runs).map(run => [run.id, run]));
+    const lost = [];
+    requests.forEach(({ request, connection, machine: { stopSentAtMs = Infinity } }) => {
+        const { id, sentAtMs, answer } = request;
+        const run = runs.get(id);
+        const end = connection.isClosed ? `ended after ${connection.closedAtMs - sentAtMs} ms` : "open";
+        const ended = answer
+            ? `answered ${answer.status} after ${answer.atMs - sentAtMs} ms`
+            : `no answer, connection ${end}`;
+        const relativeMs = sentAtMs - stopSentAtMs;
+        const sent = Number.isFinite(relativeMs) ? `sent ${relativeMs} ms after SIGTERM` : "sent";
+        fleet.note(`${id}: ${sent}; ${run ? `run by ${run.endpoint}` : "not run"}; ${ended}`);
+        const isPlanned = connection.closedAtMs >= stopSentAtMs
+            && connection.closedAtMs < stopSentAtMs + graceMs + 1_000;
+        if (!answer && run && connection.isClosed && isPlanned) {
+            lost.push(id);
         }
-    })();
-    for (let count = 1; count <= attempts; count += 1) {
-        const machine = fleet.machines[(count * 3) % fleet.machines.length];
-        const id = `poison-${count}`;
-        const { answer } = await callOnce(
-            { host: machine.host, port: fleet.port + 2 },
-            { host, path: poisonPath, id, deadlineMs: 6_000 },
-        );
-        fleet.note(`${id}: ${answer ? `answered ${answer.status} ${answer.body.slice(0, 80)}` : "no answer"}`);
-        await sleep(comesAgainMs);
-    }
-    isEnded = true;
-    await callers;
-    await sleep(1_000);
-    const knownAtMs = (crashes[2]?.atMs ?? Infinity) + stableWindowMs;
-    const late = crashes.filter(({ atMs }) => atMs > knownAtMs);
-    // The strictest reading: only what a node sends once more within one attempt of the client is a retry.
-    const retries = late.filter(({ id }, index) => late.findIndex(other => other.id === id) < index);
-    fleet.note(`${crashes.length} crashes, ${late.length} of them later than stable_window after the third`);
-    fleet.note(`${retries.length} of these by retries of the nodes`);
-    return retries.length > maxRetries
-        ? [`BUDGET: ${late.length} endpoints crashed after that, ${retries.length} of them by retries`]
-        : [];
+    });
+    fleet.note(`${requests.length} requests, ${lost.length} of them passed on to an endpoint and cut off`);
+    return lost.map(id => `LOST: ${id} was passed on to an endpoint and its connection ended without an answer`);
 });
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,72 +1,82 @@
-/** A node gets the signal to stop a second time while it finishes the requests of its clients. */
+/** A request crashes each endpoint that runs it and comes again, while few other requests are under way. */
+import { setTimeout } from "node:timers";
 import { callOnce } from "../lib/client.mjs";
 import { createConfig, runCase, sleep } from "../lib/fleet.mjs";
 
 const recordFile = new URL("record.txt", import.meta.url).pathname;
-const service = "sweep-broker";
-const host = "sweeps.example";
-/** Work of a request, as for sweep-submit on the sheet, and the pause between two requests. */
-const workMs = 290;
-const callEveryMs = 40;
-const runBeforeMs = 2_000;
-const secondSignalMs = 500;
-/** Clients get no new work on a machine after two misses of its readiness, which is asked once a second. */
-const newWorkEndsMs = 2_000;
-const graceMs = 6_000;
-const lossSlackMs = 200;
+const service = "netlist-store";
+const host = "netlists.example";
+const poisonPath = "/fetch/poison";
+/** Time until a crashed endpoint is back, and the pause between two attempts of the request's client. */
+const downMs = 3_000;
+const comesAgainMs = 2_500;
+const attempts = 16;
+const stableWindowMs = 3_000;
+const maxRetries = 3;
+/** Pause between two other requests. */
+const otherEveryMs = 4_000;
 
-const config = createConfig(12, [{ name: "sweep-submit", host, prefix: "/submit/", type: "unsafe", service }], [
-    service,
-    "model-library",
-]);
+const config = createConfig(12, [{ name: "netlist-fetch", host, prefix: "/fetch/", type: "safe", service }], [service]);
 
 await runCase(recordFile, async (fleet, isTroubled) => {
-    const zones = ["porto-a", "porto-b", "braga-a"];
-    await fleet.start([
-        { name: "library", zone: "porto-a", service: "model-library" },
-        ...zones.map(zone => ({ name: `broker-${zone}`, zone, service, work: () => workMs })),
-    ], config);
+    const crashes = [];
+    const machineOf = id => fleet.machines.find(({ endpoint }) => endpoint.id === id);
+    const crash = run => {
+        const { endpoint } = machineOf(run.endpoint);
+        crashes.push(run);
+        fleet.note(`${run.endpoint} crashes while it runs ${run.id}`);
+        endpoint.crash();
+        setTimeout(() => {
+            void endpoint.open().then(() => fleet.note(`${run.endpoint} is back`));
+        }, downMs);
+    };
+    const onRun = run => isTroubled && run.path === poisonPath && setTimeout(() => crash(run), 30);
+    await fleet.start(
+        ["porto-a", "porto-b", "braga-a", "aveiro-a"].map(zone => ({
+            name: zone,
+            zone,
+            service,
+            work: () => 220,
+            onRun,
+        })),
+        config,
+    );
     await sleep(1_500);
-    const [machine] = fleet.machines;
-    const calls = [];
-    let newWorkUntilMs = Infinity;
-    const caller = (async () => {
-        for (let count = 1; Date.now() < newWorkUntilMs; count += 1) {
-            const id = `submit-${count}`;
-            calls.push(callOnce({ host: machine.host, port: fleet.port + 2 }, {
-                method: "POST",
+    let isEnded = false;
+    const callers = (async () => {
+        for (let count = 1; !isEnded; count += 1) {
+            const machine = fleet.machines[count % fleet.machines.length];
+            const id = `other-${count}`;
+            void callOnce({ host: machine.host, port: fleet.port + 2 }, {
                 host,
-                path: `/submit/${id}`,
+                path: `/fetch/${id}`,
                 id,
                 deadlineMs: 6_000,
-                body: "x".repeat(1_200),
-            }));
-            await sleep(callEveryMs);
+            })
+                .then(({ answer }) => fleet.note(`${id}: ${answer ? `answered ${answer.status}` : "no answer"}`));
+            await sleep(otherEveryMs);
         }
     })();
-    await sleep(runBeforeMs);
-    const stoppedAtMs = Date.now();
-    newWorkUntilMs = stoppedAtMs + newWorkEndsMs;
-    fleet.signal(machine, "SIGTERM");
-    await sleep(secondSignalMs);
-    if (isTroubled) {
-        fleet.signal(machine, "SIGTERM");
-    }
-    await caller;
-    const results = await Promise.all(calls);
-    const runs = new Map(fleet.machines.flatMap(({ endpoint }) => endpoint.runs).map(run => [run.id, run]));
-    const lost = results.filter(({ id, sentAtMs, answer, endedAtMs }) => {
-        const run = runs.get(id);
-        const ended = answer ? `answered ${answer.status}` : "no answer";
-        fleet.note(
-            `${id}: sent ${sentAtMs - stoppedAtMs} ms after the first SIGTERM; ${
-                run ? `run by ${run.endpoint}` : "not run"
-            }; `
-                + `${ended} after ${endedAtMs - sentAtMs} ms`,
+    for (let count = 1; count <= attempts; count += 1) {
+        const machine = fleet.machines[(count * 3) % fleet.machines.length];
+        const id = `poison-${count}`;
+        const { answer } = await callOnce(
+            { host: machine.host, port: fleet.port + 2 },
+            { host, path: poisonPath, id, deadlineMs: 6_000 },
         );
-        const isPlanned = endedAtMs >= stoppedAtMs && endedAtMs < stoppedAtMs + graceMs + 1_000;
-        return !answer && isPlanned && (run !== undefined || endedAtMs - sentAtMs > lossSlackMs);
-    });
-    fleet.note(`${results.length} requests, ${lost.length} of them passed on to an endpoint and cut off`);
-    return lost.map(({ id }) => `LOST: ${id} was passed on to an endpoint and its connection ended without an answer`);
+        fleet.note(`${id}: ${answer ? `answered ${answer.status} ${answer.body.slice(0, 80)}` : "no answer"}`);
+        await sleep(comesAgainMs);
+    }
+    isEnded = true;
+    await callers;
+    await sleep(1_000);
+    const knownAtMs = (crashes[2]?.atMs ?? Infinity) + stableWindowMs;
+    const late = crashes.filter(({ atMs }) => atMs > knownAtMs);
+    // The strictest reading: only what a node sends once more within one attempt of the client is a retry.
+    const retries = late.filter(({ id }, index) => late.findIndex(other => other.id === id) < index);
+    fleet.note(`${crashes.length} crashes, ${late.length} of them later than stable_window after the third`);
+    fleet.note(`${retries.length} of these by retries of the nodes`);
+    return retries.length > maxRetries
+        ? [`BUDGET: ${late.length} endpoints crashed after that, ${retries.length} of them by retries`]
+        : [];
 });
