--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,122 +1,151 @@
-/** Nodes are stopped and started in turn while clients send further safe requests before the first is answered. */
-import { Connection } from "../lib/client.mjs";
-import { createConfig, Readiness, runCase, sleep } from "../lib/fleet.mjs";
+/** An endpoint in trouble sends bytes without end in the body of an answer; the platform enforces the memory limit. */
+import { readFileSync } from "node:fs";
+import { clearInterval, setInterval } from "node:timers";
+import { callOnce, Connection } from "../lib/client.mjs";
+import { createConfig, runCase, sleep } from "../lib/fleet.mjs";
 
 const recordFile = new URL("record.txt", import.meta.url).pathname;
-const clientCount = 24;
-/** Requests that a client has under way on its connection at most, and the mean of its pauses between two of them. */
-const depth = 8;
-const meanPauseMs = 150;
-/** Pause after a connection without any answer. */
-const refusedPauseMs = 500;
-const runForMs = 12_000;
-const stopAtMs = 2_500;
-/** Pause between the stops of two machines, and the delay until a node that has ended starts again. */
-const gapMs = 1_300;
-const restartMs = 2_000;
-const graceMs = 6_000;
+const memoryLimitMb = 350;
+const memoryCheckMs = 50;
+const restartMs = 1_000;
+/** Number of faulty answers, one after the other, and the pause between them. */
+const faultyAnswers = 2;
+const faultyEveryMs = 9_000;
+/** The bytes come at less than the speed of the machine's link, which is 1,000 Mbit/s. */
+const floodTickMs = 5;
+const floodBytesPerTick = 500_000;
+/** Clients of the machine beside, each with a kept connection and one booking at a time; their work. */
+const clientCount = 12;
+const bookingPauseMs = 50;
+const workMs = 290;
+const maxLost = 3;
 
-const host = "barges.example";
 const config = createConfig(12, [
-    {
-        name: "barge-status",
-        host,
-        prefix: "/status/",
-        type: "safe",
-        service: "fleetwatch",
-        timeout: "1200ms",
-        aim: "600ms",
-    },
-], ["fleetwatch", "slotbook"]);
+    { name: "sweep-submit", host: "sweeps.example", prefix: "/submit/", type: "unsafe", service: "sweep-broker" },
+    { name: "corner-signoff", host: "corners.example", prefix: "/sign/", type: "unsafe", service: "signoff-ledger" },
+], ["sweep-broker", "signoff-ledger"]);
 
-/** Work times as for barge-status on the sheet: 220 ms in the mean, a spread of 0.3, one in a hundred five times as long. */
-const readWork = request => Number(new URL(request.url, "http://x").searchParams.get("ms"));
-const drawNormal = () => Math.sqrt(-2 * Math.log(1 - Math.random())) * Math.cos(2 * Math.PI * Math.random());
-const drawWork = () => {
-    const workMs = 220 * Math.exp(0.3 * drawNormal() - 0.045) * (Math.random() < 0.01 ? 5 : 1);
-    return Math.round(Math.min(1_700, workMs));
+/** Chunks with one byte of the body each and a long extension, which says nothing. */
+const endlessPart = `1;${"e".repeat(4_000)}\r\nx\r\n`.repeat(Math.floor(floodBytesPerTick / 4_008));
+
+/** Sends an answer whose body doesn't end until the caller closes the connection. */
+const sendEndless = (response, id) => {
+    const { socket } = response;
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`);
+    const timer = setInterval(() => {
+        if (socket.destroyed) {
+            clearInterval(timer);
+        }
+        else if (!socket.writableNeedDrain) {
+            socket.write(endlessPart);
+        }
+    }, floodTickMs);
+};
+
+const readResidentMb = ({ child }) => {
+    try {
+        const [, kilobytes] = /VmRSS:\s+(\d+)/u.exec(readFileSync(`/proc/${child.pid}/status`, "utf8")) ?? [];
+        return Number(kilobytes ?? 0) / 1024;
+    }
+    catch {
+        return 0;
+    }
 };
-const drawPause = () => -meanPauseMs * Math.log(1 - Math.random());
 
 await runCase(recordFile, async (fleet, isTroubled) => {
+    const answer = (request, response, id) => {
+        if (!isTroubled || !request.url.startsWith("/submit/faulty") || !response.socket) {
+            return false;
+        }
+        fleet.note(`the endpoint begins an answer without end to ${id}`);
+        sendEndless(response, id);
+        return true;
+    };
+    const work = () => workMs;
     await fleet.start([
-        { name: "slotbook-a", zone: "pvl-a", service: "slotbook" },
-        { name: "slotbook-b", zone: "pvl-a", service: "slotbook" },
-        { name: "fleetwatch-a", zone: "pvl-b", service: "fleetwatch", work: readWork },
-        { name: "fleetwatch-b", zone: "pvl-b", service: "fleetwatch", work: readWork },
+        { name: "broker-a", zone: "porto-a", service: "sweep-broker", work, answer },
+        { name: "ledger-a", zone: "porto-a", service: "signoff-ledger", work },
+        { name: "broker-b", zone: "porto-b", service: "sweep-broker", work },
+        { name: "ledger-b", zone: "porto-b", service: "signoff-ledger", work },
     ], config);
-    const readiness = new Readiness(fleet);
     await sleep(1_500);
-    const stopped = fleet.machines.slice(0, 2);
-    const startedAtMs = Date.now();
-    const isOver = () => Date.now() > startedAtMs + runForMs;
-    const stopInTurn = async () => {
-        await sleep(stopAtMs);
-        for (const machine of stopped) {
-            machine.stopSentAtMs = Date.now();
-            fleet.signal(machine, "SIGTERM");
-            void machine.exited.then(async () => {
-                await sleep(restartMs);
-                fleet.startNode(machine);
-                fleet.note(`node ${machine.name} starts again`);
-            });
-            await sleep(gapMs);
+    if (readResidentMb(fleet.machines[0]) === 0) {
+        throw new Error("the memory of a process can't be read");
+    }
+    const peaks = new Map();
+    const enforceLimit = machine => {
+        const usedMb = readResidentMb(machine);
+        peaks.set(machine.name, Math.max(peaks.get(machine.name) ?? 0, usedMb));
+        if (usedMb <= memoryLimitMb || machine.isDown) {
+            return;
         }
+        machine.isDown = true;
+        fleet.note(`node ${machine.name} uses ${Math.round(usedMb)} MB: the platform kills it`);
+        machine.child.kill("SIGKILL");
+        void machine.exited.then(async () => {
+            await sleep(restartMs);
+            fleet.startNode(machine);
+            machine.isDown = false;
+        });
     };
-    const requests = [];
-    const runClient = async (machine, client) => {
-        const name = `${machine.name}-${client}`;
-        let count = 0;
+    const limitTimer = setInterval(() => fleet.machines.forEach(enforceLimit), memoryCheckMs);
+    const [machine] = fleet.machines;
+    const address = { host: machine.host, port: fleet.port + 2 };
+    let isEnded = false;
+    const bookings = [];
+    const runClient = async client => {
         let connection;
-        await sleep(drawPause());
-        while (!isOver()) {
-            if (connection?.isClosed && connection.requests.every(({ answer }) => !answer)) {
-                await sleep(refusedPauseMs);
-            }
-            if (!connection || connection.isClosed || connection.isClosing) {
-                connection = new Connection({ host: machine.host, port: fleet.port + 2 });
+        for (let count = 1; !isEnded; count += 1) {
+            if (!connection || connection.isClosed) {
+                connection = new Connection(address);
+                await sleep(300);
             }
-            const pending = connection.requests.filter(({ answer }) => !answer).length;
-            if (pending < depth && readiness.hasNewWork(machine)) {
-                count += 1;
-                const id = `${name}-${count}`;
-                const request = connection.send({
-                    host,
-                    path: `/status/${id}?ms=${drawWork()}`,
-                    id,
-                    deadlineMs: 2_500,
-                });
-                requests.push({ request, connection, machine });
+            const isKept = connection.requests.length > 0;
+            const id = `sign-${client}-${count}`;
+            const request = connection.send({
+                method: "POST",
+                host: "corners.example",
+                path: `/sign/${id}`,
+                id,
+                deadlineMs: 2_000,
+            });
+            bookings.push({ request, connection, isKept });
+            while (!isEnded && !connection.isClosed && !request.answer) {
+                await sleep(10);
             }
-            await sleep(drawPause());
+            await sleep(bookingPauseMs);
         }
     };
-    await Promise.all([
-        ...stopped.flatMap(machine =>
-            Array.from({ length: clientCount }, (unused, client) => runClient(machine, client))
-        ),
-        isTroubled ? stopInTurn() : undefined,
-    ]);
-    await sleep(3_000);
-    readiness.stop();
+    const clients = Array.from({ length: clientCount }, (unused, client) => runClient(client));
+    await sleep(2_000);
+    for (let count = 1; count <= faultyAnswers; count += 1) {
+        const faulty = {
+            method: "POST",
+            host: "sweeps.example",
+            path: `/submit/faulty-${count}`,
+            id: `faulty-${count}`,
+            deadlineMs: 6_000,
+        };
+        void callOnce(address, faulty).then(({ answer: result }) =>
+            fleet.note(`${faulty.id}: ${result ? `answered ${result.status}` : "no answer"}`)
+        );
+        await sleep(faultyEveryMs);
+    }
+    isEnded = true;
+    await Promise.all(clients);
+    clearInterval(limitTimer);
     const runs = new Map(fleet.machines.flatMap(({ endpoint }) => endpoint.runs).map(run => [run.id, run]));
-    const lost = [];
-    requests.forEach(({ request, connection, machine: { stopSentAtMs = Infinity } }) => {
-        const { id, sentAtMs, answer } = request;
+    const lost = bookings.filter(({ request: { id, sentAtMs, answer: result }, connection, isKept }) => {
         const run = runs.get(id);
-        const end = connection.isClosed ? `ended after ${connection.closedAtMs - sentAtMs} ms` : "open";
-        const ended = answer
-            ? `answered ${answer.status} after ${answer.atMs - sentAtMs} ms`
-            : `no answer, connection ${end}`;
-        const relativeMs = sentAtMs - stopSentAtMs;
-        const sent = Number.isFinite(relativeMs) ? `sent ${relativeMs} ms after SIGTERM` : "sent";
-        fleet.note(`${id}: ${sent}; ${run ? `run by ${run.endpoint}` : "not run"}; ${ended}`);
-        const isPlanned = connection.closedAtMs >= stopSentAtMs
-            && connection.closedAtMs < stopSentAtMs + graceMs + 1_000;
-        if (!answer && run && connection.isClosed && isPlanned) {
-            lost.push(id);
-        }
+        const end = connection.isClosed ? `connection ended after ${connection.closedAtMs - sentAtMs} ms` : "open";
+        fleet.note(
+            `${id}: ${run ? `run by ${run.endpoint}` : "not run"}; ${result ? `answered ${result.status}` : end}`,
+        );
+        return isKept && run !== undefined && !result && connection.isClosed;
     });
-    fleet.note(`${requests.length} requests, ${lost.length} of them passed on to an endpoint and cut off`);
-    return lost.map(id => `LOST: ${id} was passed on to an endpoint and its connection ended without an answer`);
+    peaks.forEach((peakMb, name) => fleet.note(`node ${name}: at most ${Math.round(peakMb)} MB`));
+    fleet.note(`${bookings.length} bookings, ${lost.length} of them passed on to a sound endpoint and cut off`);
+    return lost.length > maxLost
+        ? [`LOST: ${lost.length} bookings were passed on to a sound endpoint and their connections ended without an answer`]
+        : [];
 });
