--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -3,7 +3,7 @@
 import { createConfig, Readiness, runCase, sleep } from "../lib/fleet.mjs";
 
 const recordFile = new URL("record.txt", import.meta.url).pathname;
-const clientCount = 24;
+const clientCount = 48;
 /** Requests that a client has under way on its connection at most, and the mean of its pauses between two of them. */
 const depth = 8;
 const meanPauseMs = 150;
