Bound the memory of an answer by what is received, not by its body alone

Cause: the HTTP client hands over each chunk as a view of all that was read with it.

Short chunks are copied into one buffer. An answer with far more bytes around its body than in it ends at once rather than at its deadline. A streamed answer waits for the connection to the other node, which may stand still.

--- a/src/relay/connectionPool/index.ts
+++ b/src/relay/connectionPool/index.ts
@@ -1,7 +1,7 @@
 /** Pool of HTTP connections to one address, with one request at a time on each connection. */
 import { connect, type Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { type Dispatch } from "../../tasks/_lib/attempt";
+import { type Dispatch, ExcessFramingError } from "../../tasks/_lib/attempt";
 import { type Address } from "../../types";
 
 /** Timeout for opening a connection, in milliseconds. Allows several round trips between failure domains. */
@@ -15,6 +15,12 @@
 const maxSafeIdleMs = 1_000;
 /** Time after a foreign answer during which requests that must not run twice use new connections, in milliseconds. */
 const foreignAnswerCooldownMs = 5_000;
+/**
+ * Maximum number of bytes around the body of an answer, in bytes, and how many further ones each byte of the body allows:
+ * interim answers, heads, trailers and the framing of chunks. A chunk of one byte without extensions takes five.
+ */
+const maxFramingBytes = 256 * 1024;
+const maxFramingPerBodyByte = 8;
 
 interface Connection {
     readonly client: Client;
@@ -33,6 +39,8 @@
 
 interface SocketListener {
     readonly onActivity: (() => void) | undefined;
+    /** Called with the number of bytes that a socket has received now. */
+    readonly onReceived: (socket: Socket, newBytes: number) => void;
     /** Called when a reset looks like the regular end of the connection. */
     readonly onReset: () => void;
 }
@@ -65,6 +73,7 @@
         if (listener.onActivity) {
             socket.on("data", listener.onActivity);
         }
+        socket.on("data", (bytes: Buffer) => listener.onReceived(socket, bytes.length));
         callback(undefined as never, socket);
     });
 };
@@ -131,6 +140,7 @@
             connect: (unused: buildConnector.Options, callback: buildConnector.Callback) =>
                 openSocket(this.address, callback, {
                     onActivity: this.options.onActivity,
+                    onReceived: (socket, newBytes) => connection.handler?.abortExcessFraming(socket, newBytes),
                     onReset: () => connection.handler?.onError(new Error("the connection was reset")),
                 }),
         });
@@ -153,9 +163,21 @@
 /** Forwards the events of a request up to its end or first error, and releases the connection at that point. */
 class ReleasingHandler implements Dispatcher.DispatchHandlers {
     private isFinished = false;
+    private bodyBytes = 0;
+    /** Bytes that the socket had received before the answer. */
+    private bytesBefore: number | undefined;
 
     constructor(private readonly inner: Dispatcher.DispatchHandlers, private readonly release: () => void) {}
 
+    /** Closes the socket if the answer has far more bytes around its body than in it. */
+    abortExcessFraming(socket: Socket, newBytes: number): void {
+        this.bytesBefore ??= socket.bytesRead - newBytes;
+        const framingBytes = socket.bytesRead - this.bytesBefore - this.bodyBytes;
+        if (framingBytes > maxFramingBytes + maxFramingPerBodyByte * this.bodyBytes) {
+            socket.destroy(new ExcessFramingError(`${framingBytes} bytes around ${this.bodyBytes} bytes of a body`));
+        }
+    }
+
     onConnect(abort: (error?: Error) => void): void {
         this.inner.onConnect?.(abort);
     }
@@ -165,6 +187,7 @@
     }
 
     onData(chunk: Buffer): boolean {
+        this.bodyBytes += chunk.length;
         return this.isFinished || (this.inner.onData?.(chunk) ?? true);
     }
 
--- a/src/relay/endlessBytes.test.ts
+++ b/src/relay/endlessBytes.test.ts
@@ -11,6 +11,9 @@
     testHeaderNames,
     type UpstreamHandler,
 } from "../testing/startRelayFleet";
+import { deriveLinkAddress } from "./_lib/deriveAddresses";
+import { encodeHopRequest } from "./hop/headers";
+import { encodeFrame, frameKinds } from "./link/frames";
 
 const table = createRoutingTable(3, [
     createRoute({ maxUpstreams: 1 }),
@@ -45,7 +48,7 @@
     const block = filler.repeat(Math.ceil(8_192 / filler.length));
     const writeMore = (): void => {
         if (!socket.destroyed) {
-            socket.write(block, () => setTimeout(writeMore, intervalMs));
+            socket.write(block, () => intervalMs > 0 ? setTimeout(writeMore, intervalMs) : setImmediate(writeMore));
         }
     };
     writeMore();
@@ -138,6 +141,68 @@
     });
 });
 
+/** Bytes that may be under way on loopback, beside those that a node accepts. */
+const maxSentBytes = 24 * 1024 * 1024;
+
+const excessFramingCases: readonly (readonly [name: string, start: (requestId: string) => string, filler: string])[] = [
+    ["chunks of one byte with long extensions", formatChunkedHead, `1;${"e".repeat(4_000)}\r\nx\r\n`],
+    ["longer chunks with very long extensions", formatChunkedHead, `64;${"e".repeat(9_000)}\r\n${"x".repeat(100)}\r\n`],
+    ["an extension without end", id => `${formatChunkedHead(id)}5;`, "extension"],
+    ["interim answers", () => "", "HTTP/1.1 103 Early Hints\r\nlink: filler\r\n\r\n"],
+];
+
+// Guards against a node over its memory limit: the bytes around a body kept far more memory in use than the body has.
+describe.each(excessFramingCases)("%s", (unused, start, filler) => {
+    it.each(["lookup", "booking"])("end long before the deadline of a %s", async route => {
+        await startFleet(writeEndlessly(start, filler, 0));
+        const path = `/${route}/endless`;
+        const request = { path, method: route === "booking" ? "POST" : "GET", deadlineMs: 60_000 };
+        expect((await sendToEntry(fleet.members[0]!, request)).status).toBe(502);
+        await awaitUntil(isEachSocketClosed);
+        expect(endlessSockets.every(({ bytesWritten }) => bytesWritten < maxSentBytes)).toBe(true);
+    });
+});
+
+describe("a node that stands still while it gets a long answer", () => {
+    // Guards against a node over its memory limit: frames for a node that reads none were queued without end.
+    it("lets the upstream wait", async () => {
+        await startFleet(writeEndlessly(formatChunkedHead, `2000\r\n${"x".repeat(8_192)}\r\n`, 0));
+        const [, desk] = fleet.members;
+        const { host, port } = deriveLinkAddress(desk!.settings.peers);
+        const link = connect(port, host);
+        link.pause();
+        const fields = encodeHopRequest({
+            route: "lookup",
+            callerService: "gate",
+            upstreamId: desk!.record.id,
+            idempotent: true,
+            nested: false,
+            isRetry: false,
+            rank: 2,
+            targetLatencyMs: 500,
+            remainingMs: 60_000,
+            version: 3,
+        });
+        link.write(
+            encodeFrame([frameKinds.request, 1, fields, "r-1", "GET", "/lookup/endless", [
+                testHeaderNames.requestId,
+                "r-1",
+            ]]),
+        );
+        const readSentBytes = (): number => endlessSockets[0]?.bytesWritten ?? 0;
+        let sentBytes = -1;
+        await awaitUntil(async () => {
+            const isStill = sentBytes > 0 && readSentBytes() === sentBytes;
+            sentBytes = readSentBytes();
+            await new Promise(resolve => setTimeout(resolve, 300));
+            return isStill || sentBytes > maxSentBytes;
+        });
+        expect(sentBytes).toBeLessThan(maxSentBytes);
+        link.destroy();
+        await awaitUntil(isEachSocketClosed);
+    });
+});
+
 describe("a body that is long and complete", () => {
     it("reaches the caller whole through both nodes", async () => {
         const body = "0123456789".repeat(200_000);
--- a/src/relay/link/frameSocket.ts
+++ b/src/relay/link/frameSocket.ts
@@ -12,10 +12,12 @@
 export class FrameSocket {
     private readonly reader = new FrameReader();
     private isCorked = false;
+    private readonly drainHandlers: (() => void)[] = [];
 
     constructor(private readonly socket: Socket, private readonly listener: FrameListener) {
         socket.on("data", bytes => this.receive(bytes));
         socket.on("error", () => socket.destroy());
+        socket.on("drain", () => this.drainHandlers.splice(0).forEach(resume => resume()));
         socket.once("close", () => listener.onClose());
     }
 
@@ -35,6 +37,11 @@
         return this.socket.write(encodeFrame(frame));
     }
 
+    /** Calls `resume` once, when the send buffer has been sent; never if the connection closes first. */
+    onDrain(resume: () => void): void {
+        this.drainHandlers.push(resume);
+    }
+
     /** Closes the connection without sending queued frames. */
     abort(): void {
         this.socket.destroy();
--- a/src/relay/link/linkServer.ts
+++ b/src/relay/link/linkServer.ts
@@ -143,9 +143,13 @@
     }
 }
 
-/** Sends a streamed answer in chunks; its source stops between the pause and resume frames of the other node. */
+/**
+ * Sends a streamed answer in chunks. Its source stops between the pause and resume frames of the other node, and while
+ * the connection doesn't accept more: a node that stands still sends no pause frame.
+ */
 class LinkStream implements AnswerSink {
     private isPaused = false;
+    private isBlocked = false;
     private resumeSource: (() => void) | undefined;
 
     constructor(private readonly id: number, private readonly frames: FrameSocket) {}
@@ -159,8 +163,14 @@
     }
 
     write(chunk: Buffer): boolean {
-        this.frames.write([frameKinds.chunk, this.id, chunk]);
-        return !this.isPaused;
+        if (!this.frames.write([frameKinds.chunk, this.id, chunk]) && !this.isBlocked) {
+            this.isBlocked = true;
+            this.frames.onDrain(() => {
+                this.isBlocked = false;
+                this.tryStartSource();
+            });
+        }
+        return !this.isPaused && !this.isBlocked;
     }
 
     onDrain(resume: () => void): void {
@@ -181,6 +191,13 @@
 
     startSource(): void {
         this.isPaused = false;
+        this.tryStartSource();
+    }
+
+    private tryStartSource(): void {
+        if (this.isPaused || this.isBlocked) {
+            return;
+        }
         const { resumeSource } = this;
         this.resumeSource = undefined;
         resumeSource?.();
--- a/src/tasks/_lib/answerSink.ts
+++ b/src/tasks/_lib/answerSink.ts
@@ -1,5 +1,6 @@
 /** Destinations of an answer: an HTTP response, memory, or nowhere. */
 import { type ServerResponse } from "node:http";
+import { ByteAccumulator } from "./byteAccumulator";
 
 /** Status and headers of an answer, which precede its body. */
 export interface AnswerHead {
@@ -109,7 +110,7 @@
 /** Keeps an answer in memory; passes undefined to `onEnd` if the answer was aborted or its body exceeds `maxBytes`. */
 export class RecordingSink implements AnswerSink {
     private head: AnswerHead | undefined;
-    private readonly chunks: Buffer[] = [];
+    private readonly recorded = new ByteAccumulator();
     private size = 0;
 
     constructor(
@@ -124,7 +125,7 @@
     write(chunk: Buffer): boolean {
         this.size += chunk.length;
         if (this.size <= this.maxBytes) {
-            this.chunks.push(chunk);
+            this.recorded.add(chunk);
         }
         return true;
     }
@@ -135,7 +136,7 @@
 
     end(): void {
         const isComplete = this.head !== undefined && this.size <= this.maxBytes;
-        this.onEnd(isComplete ? { head: this.head!, body: Buffer.concat(this.chunks) } : undefined);
+        this.onEnd(isComplete ? { head: this.head!, body: this.recorded.take() } : undefined);
     }
 
     abort(): void {
--- a/src/tasks/_lib/attempt.ts
+++ b/src/tasks/_lib/attempt.ts
@@ -4,8 +4,14 @@
 import { isBodiless } from "./headers";
 import { BodyTooLargeError, type RequestBody } from "./readBody";
 
-/** Why an attempt got no complete answer; "unframed": the headers of the answer do not delimit its body. */
-export type FailureCause = "connection" | "timeout" | "cancelled" | "unframed" | "body-too-large";
+/**
+ * Why an attempt got no complete answer; "unframed": the headers of the answer do not delimit its body;
+ * "excess-framing": it has far more bytes around its body than in it.
+ */
+export type FailureCause = "connection" | "timeout" | "cancelled" | "unframed" | "excess-framing" | "body-too-large";
+
+/** Error of a connection over which an answer has far more bytes around its body than in it. */
+export class ExcessFramingError extends Error {}
 
 /** Result of an attempt; `forwarded` is true if the handler returned a sink for the answer. */
 export type AttemptResult =
@@ -135,8 +141,7 @@
 
     onError(error: Error): void {
         if (!this.isFinished) {
-            const cause = error instanceof BodyTooLargeError ? "body-too-large" : "connection";
-            this.finishFailed(this.abortCause ?? cause);
+            this.finishFailed(this.abortCause ?? deriveCause(error));
         }
     }
 
@@ -151,6 +156,13 @@
     }
 }
 
+const deriveCause = (error: Error): FailureCause => {
+    if (error instanceof ExcessFramingError) {
+        return "excess-framing";
+    }
+    return error instanceof BodyTooLargeError ? "body-too-large" : "connection";
+};
+
 /** Sends a request over a pool without timeouts for its answer; `Attempt.abort` ends an attempt that takes too long. */
 export const sendAttempt = (pool: Dispatch, request: OutgoingRequest, attempt: Attempt): void => {
     pool.dispatch(
--- a/src/tasks/_lib/readBody.ts
+++ b/src/tasks/_lib/readBody.ts
@@ -1,6 +1,7 @@
 import { type IncomingMessage } from "node:http";
 import { type Readable, Transform } from "node:stream";
 import { maxReplayBodyBytes } from "../../constants";
+import { ByteAccumulator } from "./byteAccumulator";
 import { findHeader } from "./headers";
 
 /** Request body: a buffer if it was read into memory, a stream if not; undefined if the request has no body. */
@@ -41,7 +42,7 @@
     || Number(findHeader(rawHeaders, "content-length") ?? 0) > 0;
 
 const readIntoMemory = (request: IncomingMessage, maxBytes: number, onFinished: (result: BodyResult) => void): void => {
-    const chunks: Buffer[] = [];
+    const body = new ByteAccumulator();
     let size = 0;
     let isFinished = false;
     const finishOnce = (result: BodyResult): void => {
@@ -57,12 +58,9 @@
             finishOnce({ kind: "too-large" });
             return;
         }
-        chunks.push(chunk);
+        body.add(chunk);
     });
-    request.once(
-        "end",
-        () => finishOnce({ kind: "body", body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks) }),
-    );
+    request.once("end", () => finishOnce({ kind: "body", body: body.take() }));
     request.once("close", () => finishOnce({ kind: "aborted" }));
 };
 
