Notice a lost store while a watch waits, and ask both watching nodes in turn

Cause: the node learns of changes from a node that watches the store. That one was cut off; its watch waits 3.5 s and times out 0.8 s later, and until then it answers that it is current and that nothing has changed. Ruled out: the choice of the upstream, and own reads that fail.

A watching node pings the store while a watch waits (a stale read every 0.6 s), and gives the watch up without an answer. The others ask the two in turn, and read the store within 0.2 s when both have lost it. A node that can't reach the store holds queries for 0.25 s at most: one that held them for a second hid what the other one knew. Records and removals that are known already no longer count as changes, since both watching nodes tell them.

--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -1,11 +1,12 @@
 /** A node's view of the fleet with what depends on it: the ranking of the nodes, the listener and waiting queries. */
+import { LRUCache } from "lru-cache";
 import { comparePositions } from "../../decisions/comparePositions";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
 import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
 import { type Instant } from "../../types";
 import { type SourceListener } from "../source";
 import { ChangeWaiters } from "./changeWaiters";
-import { FleetView } from "./fleetView";
+import { FleetView, type ViewCursor } from "./fleetView";
 import { PeerRanking, type RankingPlace } from "./peerRanking";
 import { type TableEvidence, TableProof } from "./tableProof";
 import {
@@ -22,6 +23,14 @@
 
 /** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
 const expiryCheckMs = 200;
+/**
+ * Longest wait of a query that comes while the store can't be reached, in milliseconds. The asking node has to look for
+ * changes elsewhere.
+ */
+const lostWaitMs = 250;
+/** Number of nodes whose cursors are kept; two are asked in turn. */
+const maxCursors = 4;
+const noCursor: ViewCursor = { viewId: "", serial: 0 };
 
 /** Place of a node, the id of its view and its clock. */
 export interface FleetStateOptions extends RankingPlace {
@@ -43,8 +52,8 @@
     private isCurrent = false;
     private place = "";
     private isExpiryPending = false;
-    /** Cursor in the view of the node that answered last. */
-    private cursor = { viewId: "", serial: 0 };
+    /** Cursors in the views of the nodes that were asked lately, by host. */
+    private readonly cursors = new LRUCache<string, ViewCursor>({ max: maxCursors });
     private readonly waiters: ChangeWaiters;
 
     constructor(private readonly options: FleetStateOptions, private readonly listener: SourceListener) {
@@ -67,16 +76,22 @@
         }
     }
 
-    /** Creates the query for the changes that this node doesn't know yet. */
-    createQuery(waitMs: number): ChangesQuery {
-        return { ...this.cursor, version: this.readVersion(), waitMs };
+    /** Place that the node reads changes from, as it was reported last. */
+    get readingPlace(): string {
+        return this.place;
+    }
+
+    /** Creates the query for the changes in the view of the node at a host that this node doesn't know yet. */
+    createQuery(host: string, waitMs: number): ChangesQuery {
+        return { ...this.cursors.get(host) ?? noCursor, version: this.readVersion(), waitMs };
     }
 
     /** Waits for changes since the cursor of another node's query. */
     async awaitChanges(query: ChangesQuery): Promise<FleetChanges> {
         const queriedAt = this.proof.readNow();
         if (query.waitMs > 0 && !this.hasChanges(query)) {
-            await this.waiters.awaitRelease(query.waitMs);
+            const maxWaitMs = this.isReachable === false ? lostWaitMs : Infinity;
+            await this.waiters.awaitRelease(Math.min(query.waitMs, maxWaitMs));
         }
         return {
             viewId: this.options.viewId,
@@ -150,10 +165,12 @@
         const { position: previous } = this.view;
         const result = this.applyBatch(batch, host);
         if (result !== "applied") {
-            this.cursor = result === "gap" ? { viewId: "", serial: 0 } : this.cursor;
+            if (result === "gap") {
+                this.cursors.delete(host);
+            }
             return false;
         }
-        this.cursor = { viewId, serial };
+        this.cursors.set(host, { viewId, serial });
         // A watch can continue from a newer position; from the same one it would fail again.
         this.mustReadAll &&= previous !== undefined && comparePositions(batch.position, previous) <= 0;
         return true;
--- a/src/relay/fleet/fleetTracker.test.ts
+++ b/src/relay/fleet/fleetTracker.test.ts
@@ -105,6 +105,58 @@
     });
 });
 
+describe("watching nodes that are cut off from the store", () => {
+    const drainMs = 2_000;
+
+    // Guards against requests to an upstream that has drained: a node whose watch hangs said that nothing had changed.
+    it.each(
+        [1, 2].flatMap(count => [0, 150, 300, 600, 900, 1_300, 1_900].map(cutAfterMs => [count, cutAfterMs] as const)),
+    )(
+        "%i of a failure domain, %i ms after the last change: the others drop an upstream in time",
+        async (count, afterMs) => {
+            const { store, nodes } = await startFleet(40);
+            const watchers = (await findWatchers("a")).slice(0, count);
+            expect(watchers).toHaveLength(count);
+            store.write(fleet.createRecord(9, { sequence: 2, warmupLeftMs: 1 }));
+            await fleet.runFor(afterMs);
+            const cutHosts = watchers.map(({ host }) => host);
+            store.isCut = host => cutHosts.includes(host);
+            const others = nodes.filter(({ host }) => !cutHosts.includes(host));
+            for (const id of ["i-5", "i-6", "i-8"]) {
+                await fleet.runFor(50);
+                store.remove(id);
+                await fleet.runFor(drainMs);
+                expect(others.filter(node => listIds(node).includes(id)).map(({ host }) => host)).toEqual([]);
+            }
+            store.isCut = () => false;
+            await fleet.runFor(8_000);
+            store.isTurnedAway = () => false;
+            expect((await findWatchers("a")).length).toBeLessThanOrEqual(3);
+        },
+    );
+
+    it("is told at once by a node that loses the store while it holds a query", async () => {
+        const { store } = await startFleet(20);
+        const [watcher] = await findWatchers("a");
+        const { tracker, host } = watcher!;
+        const first = await tracker.awaitChanges({ viewId: "", serial: 0, version: 1, waitMs: 1 });
+        store.isCut = reader => reader === host;
+        const startedAtMs = fleet.clock.readMonotonicMs();
+        let wasCurrent = first.isCurrent;
+        while (wasCurrent) {
+            const answer = tracker.awaitChanges({
+                viewId: first.viewId,
+                serial: first.serial,
+                version: 1,
+                waitMs: 200,
+            });
+            await fleet.runFor(210);
+            wasCurrent = (await answer).isCurrent;
+        }
+        expect(fleet.clock.readMonotonicMs() - startedAtMs).toBeLessThan(1_500);
+    });
+});
+
 describe("a store that serves again the nodes that it turned away", () => {
     /** Time after which an upstream that has left must get no new requests, in milliseconds. */
     const drainMs = 2_000;
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -3,8 +3,10 @@
 import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
 import { type Instant } from "../../types";
 import { type FleetSource, type SourceListener } from "../source";
+import { DirectReads } from "./directReads";
 import { FleetState, platformPlace } from "./fleetState";
 import { type RankingPlace } from "./peerRanking";
+import { StoreWatch } from "./storeWatch";
 import { type TableEvidence } from "./tableProof";
 import { TableProver } from "./tableProver";
 import {
@@ -15,28 +17,25 @@
     type StoreReading,
     type TableAnswer,
 } from "./types";
+import { WatcherChoice } from "./watcherChoice";
 
 /**
- * Time that a watch of the store waits, in milliseconds. A lost answer is noticed only when the watch times out, and a
- * change has to be in force 2 s after the store has been available for 3 s.
+ * Time that a watch of the store waits, in milliseconds. A connection that has gone silent is noticed only when the watch
+ * times out, and has to be replaced within 3 s.
  */
-const storeWaitMs = 3_500;
+const storeWaitMs = 2_000;
 /** Wait of a query that only catches up with the store, in milliseconds. */
 const catchUpWaitMs = 1;
 /** Pause after an answer of the store with changes, in milliseconds. It lets several changes collect. */
 const changeBatchMs = 400;
-/** Time that a query of another node waits for a change, in milliseconds. */
-const peerWaitMs = 1_000;
 /** Pause between two queries of another node, in milliseconds. */
 const peerPauseMs = 50;
-/** Pause before a node that lies behind or can't reach the store is asked again, in milliseconds. */
+/** Pause before the next query after an outdated answer, in milliseconds. */
 const outdatedPauseMs = 200;
 /** Number of outdated answers in a row after which another node is asked. */
 const maxOutdatedAnswers = 3;
 /** Time for which a node watches the store after it was asked, or while no other node can be asked, in milliseconds. */
 const watchForMs = 3_000;
-/** Mean interval between own queries of the store while the asked nodes can't reach it, in milliseconds. */
-const directIntervalMs = 2_000;
 /** Bounds of the exponential delay before the next query after a failure, in milliseconds, before jitter. */
 const initialRetryDelayMs = 100;
 const maxRetryDelayMs = 1_000;
@@ -66,11 +65,16 @@
     private isStopped = false;
     private failureCount = 0;
     private watchesUntilMs = -Infinity;
-    /** Time of the next own query while the asked nodes can't reach the store; undefined while they can. */
-    private nextDirectAtMs: number | undefined;
     private outdatedAnswers = 0;
+    private readonly watcherChoice: WatcherChoice;
+    private readonly storeWatch: StoreWatch;
+    private readonly directReads: DirectReads;
 
-    constructor(private readonly options: FleetTrackerOptions) {}
+    constructor(private readonly options: FleetTrackerOptions) {
+        this.watcherChoice = new WatcherChoice(options.clock.readMonotonicMs);
+        this.directReads = new DirectReads(options.clock.readMonotonicMs, options.sampleRandom);
+        this.storeWatch = new StoreWatch(options.reader, options.clock);
+    }
 
     start(listener: SourceListener): void {
         this.state = new FleetState(this.options, listener);
@@ -115,8 +119,8 @@
     private async runTracking(state: FleetState): Promise<void> {
         await this.findPeers(state);
         while (!this.isStopped) {
-            const host = this.choosePeer(state);
-            await (host === undefined ? this.watchStore(state) : this.queryPeer(state, host));
+            const watchers = this.listWatchers(state);
+            await (watchers.length === 0 ? this.watchStore(state) : this.queryWatchers(state, watchers));
         }
     }
 
@@ -149,7 +153,7 @@
     private async takeOverView(state: FleetState): Promise<boolean> {
         for (const host of state.ranking.listPeers()) {
             const askedAt = state.proof.readNow();
-            const changes = await this.options.client.queryChanges(host, state.createQuery(0));
+            const changes = await this.options.client.queryChanges(host, state.createQuery(host, 0));
             if (changes?.batch && state.applyChanges(changes, host, askedAt)) {
                 return true;
             }
@@ -157,23 +161,25 @@
         return false;
     }
 
-    /** Chooses the node to ask; returns undefined if this node has to watch the store itself. */
-    private choosePeer({ ranking }: FleetState): string | undefined {
+    /** Lists the nodes to ask; none if this node has to watch the store itself. */
+    private listWatchers({ ranking }: FleetState): readonly string[] {
         const nowMs = this.readNowMs();
         if (nowMs < this.watchesUntilMs || ranking.isWatcher()) {
-            return undefined;
+            return [];
         }
-        const [host] = ranking.listPeers();
-        if (host === undefined) {
+        const hosts = ranking.listPeers();
+        if (hosts.length === 0) {
             this.watchesUntilMs = nowMs + watchForMs;
         }
-        return host;
+        return hosts;
     }
 
-    private async queryPeer(state: FleetState, host: string): Promise<void> {
+    /** Asks one of the nodes that watch the store, and reads the store itself when all of them have lost it. */
+    private async queryWatchers(state: FleetState, watchers: readonly string[]): Promise<void> {
         state.updateReadingStore(false);
         const askedAt = state.proof.readNow();
-        const changes = await this.options.client.queryChanges(host, state.createQuery(peerWaitMs));
+        const { host, waitMs } = this.watcherChoice.choose(watchers);
+        const changes = await this.options.client.queryChanges(host, state.createQuery(host, waitMs));
         if (this.isStopped) {
             return;
         }
@@ -184,16 +190,21 @@
         }
         const isApplied = state.applyChanges(changes, host, askedAt);
         this.outdatedAnswers = isApplied ? 0 : this.outdatedAnswers + 1;
+        this.watcherChoice.record(host, changes.isCurrent);
         if (!changes.isCurrent) {
-            await this.readChangesInTurn(state);
+            if (!watchers.some(watcher => this.watcherChoice.isUsable(watcher))) {
+                await this.readChangesInTurn(state);
+            }
             return;
         }
-        this.nextDirectAtMs = undefined;
+        this.directReads.end();
         if (this.outdatedAnswers >= maxOutdatedAnswers) {
             this.recordPeerFailure(state, host, "view is behind");
             return;
         }
-        state.reportPlace(host, "watches the platform");
+        if (!watchers.includes(state.readingPlace) || !this.watcherChoice.isUsable(state.readingPlace)) {
+            state.reportPlace(host, "watches the platform");
+        }
         await awaitDelay(this.options.clock, isApplied ? peerPauseMs : outdatedPauseMs);
     }
 
@@ -213,14 +224,11 @@
 
     /** Reads the store now and then while the asked nodes can't; if that succeeds, this node watches it itself. */
     private async readChangesInTurn(state: FleetState): Promise<void> {
-        const nowMs = this.readNowMs();
-        const { sampleRandom, clock } = this.options;
-        this.nextDirectAtMs ??= nowMs + sampleRandom() * directIntervalMs / 2;
-        if (nowMs < this.nextDirectAtMs) {
-            await awaitDelay(clock, outdatedPauseMs);
+        const { delayMs, isDue } = this.directReads.schedule();
+        await awaitDelay(this.options.clock, delayMs);
+        if (!isDue || this.isStopped) {
             return;
         }
-        this.nextDirectAtMs = nowMs + directIntervalMs * (0.5 + sampleRandom());
         const askedAt = state.proof.readNow();
         if (this.applyReading(state, await this.readStore(state, catchUpWaitMs), askedAt)) {
             this.watchesUntilMs = this.readNowMs() + watchForMs;
@@ -234,7 +242,7 @@
         const host = hosts[Math.floor(this.options.sampleRandom() * hosts.length)];
         const changes = host === undefined
             ? undefined
-            : await this.options.client.queryChanges(host, state.createQuery(0));
+            : await this.options.client.queryChanges(host, state.createQuery(host, 0));
         if (changes && !this.isStopped) {
             state.applyChanges(changes, host!, askedAt);
         }
@@ -265,7 +273,7 @@
         const { reader } = this.options;
         return mustReadAll || !view.position
             ? reader.readAll({ allowStale: false })
-            : reader.watch(view.position, waitMs);
+            : this.storeWatch.watch(view.position, waitMs);
     }
 
     private applyReading(state: FleetState, reading: StoreReading, askedAt: Instant): boolean {
--- a/src/relay/fleet/fleetView.ts
+++ b/src/relay/fleet/fleetView.ts
@@ -1,4 +1,5 @@
 /** What a node knows of the upstreams, and since when in the history of the store. */
+import { isDeepStrictEqual } from "node:util";
 import { comparePositions } from "../../decisions/comparePositions";
 import { isOutdatedRecord } from "../../decisions/isOutdatedRecord";
 import { type GoneRecord, type StorePosition, type UpstreamRecord } from "../../routing/types";
@@ -152,6 +153,9 @@
             return;
         }
         this.removalTimes.delete(id);
+        if (record.state !== "missing" && isDeepStrictEqual(this.records.get(id), record)) {
+            return;
+        }
         if (record.state === "missing") {
             this.removalTimes.set(id, this.readNowMs() + renewalGraceMs);
         }
@@ -204,7 +208,8 @@
 
     private recordGone(gone: GoneRecord): void {
         const known = this.gone.get(gone.id) ?? this.records.get(gone.id);
-        if (known && (this.records.has(gone.id) || isOutdatedRecord(gone, known))) {
+        const isKnown = isDeepStrictEqual(known, gone);
+        if (isKnown || known && (this.records.has(gone.id) || isOutdatedRecord(gone, known))) {
             return;
         }
         this.gone.set(gone.id, gone);
--- a/src/relay/fleet/types.ts
+++ b/src/relay/fleet/types.ts
@@ -46,8 +46,10 @@
 export interface StoreReader {
     /** Reads everything. With `allowStale` the result may be seconds old, and is cheap for the store. */
     readAll(options: { readonly allowStale: boolean; }): Promise<StoreReading>;
-    /** Waits up to `waitMs` milliseconds for changes since a position. */
-    watch(position: StorePosition, waitMs: number): Promise<StoreReading>;
+    /** Waits up to `waitMs` milliseconds for changes since a position; fails once `signal` is aborted. */
+    watch(position: StorePosition, waitMs: number, signal?: AbortSignal): Promise<StoreReading>;
+    /** Checks whether the store answers; cheap for the store. */
+    ping(): Promise<boolean>;
     /** Reads the routing table that was the newest at the time of the call or later. */
     readTable(): Promise<TableReading>;
     close(): void;
--- a/src/testing/virtualStore.ts
+++ b/src/testing/virtualStore.ts
@@ -19,6 +19,9 @@
 
 const answerMs = 4;
 const pollMs = 20;
+/** Timeouts of readers, in milliseconds. */
+const answerTimeoutMs = 800;
+const pingTimeoutMs = 500;
 
 /** Holds records and a routing version; can turn readers away, and can return to an older copy of itself. */
 export class VirtualStore {
@@ -27,6 +30,8 @@
     staleCallCount = 0;
     /** Whether the store turns a reader away. */
     isTurnedAway: (reader: string) => boolean = () => false;
+    /** Whether a reader is cut off from the store, so that neither calls nor answers arrive. */
+    isCut: (reader: string) => boolean = () => false;
     /** Organisations of the routing table; undefined if requests carry no keys. */
     organisations: readonly Organisation[] | undefined;
     private records = new Map<string, UpstreamRecord>();
@@ -71,18 +76,25 @@
         return {
             readAll: async ({ allowStale }) => {
                 this.countCall(allowStale);
-                await awaitDelay(this.clock, answerMs);
+                if (!await this.awaitAnswer(name)) {
+                    return createFailure();
+                }
                 return this.isTurnedAway(name) ? createFailure() : this.createReading(this.createFullBatch());
             },
-            watch: async (position, waitMs) => {
+            watch: async (position, waitMs, signal) => {
                 this.countCall(false);
-                await awaitDelay(this.clock, answerMs);
-                return this.serveWatch(name, position, this.clock.readMonotonicMs() + waitMs);
+                if (!await this.awaitAnswer(name)) {
+                    return createFailure();
+                }
+                return this.serveWatch(name, position, this.clock.readMonotonicMs() + waitMs, signal);
+            },
+            ping: async () => {
+                this.countCall(true);
+                return await this.awaitAnswer(name, pingTimeoutMs) && !this.isTurnedAway(name);
             },
             readTable: async () => {
                 this.countCall(false);
-                await awaitDelay(this.clock, answerMs);
-                return this.isTurnedAway(name)
+                return !await this.awaitAnswer(name) || this.isTurnedAway(name)
                     ? { kind: "failed", detail: "turned away" }
                     : { kind: "table", table: this.createTable() };
             },
@@ -90,11 +102,29 @@
         };
     }
 
-    private async serveWatch(name: string, position: StorePosition, untilMs: number): Promise<StoreReading> {
+    /** Waits for an answer; returns false if the reader is cut off, when its timeout is over. */
+    private async awaitAnswer(name: string, timeoutMs = answerTimeoutMs): Promise<boolean> {
+        await awaitDelay(this.clock, this.isCut(name) ? timeoutMs : answerMs);
+        return !this.isCut(name);
+    }
+
+    private async serveWatch(
+        name: string,
+        position: StorePosition,
+        untilMs: number,
+        signal?: AbortSignal,
+    ): Promise<StoreReading> {
+        let isLost = false;
         for (;;) {
-            if (this.isTurnedAway(name)) {
+            isLost ||= this.isCut(name);
+            const isOverdue = isLost && this.clock.readMonotonicMs() >= untilMs + answerTimeoutMs;
+            if (signal?.aborted || isOverdue || !isLost && this.isTurnedAway(name)) {
                 return createFailure();
             }
+            if (isLost) {
+                await awaitDelay(this.clock, pollMs);
+                continue;
+            }
             if (position.era !== this.era) {
                 return { kind: "history-lost" };
             }
