Decide whether an answer closes its connection when it is written

Cause: a stopping node asked whether a request is the latest of its connection when its answer was ready. Behind a slower request the answer has to wait; requests read meanwhile were passed on, and the connection closed behind the waiting answer. Ruled out: the closing of idle connections at the end of the stop.

While a connection has to close, an answer is written in its turn, and decides then. Requests that follow a closing answer are not passed on. AnswerWriter holds this, CallConnection what is known of a connection.

--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -4,12 +4,12 @@
 import { type AnswerHead, type AnswerSink } from "../../tasks/_lib/answerSink";
 import { type CallRequest, createForwardHeaders } from "../../tasks/_lib/callRequest";
 import { findHeader } from "../../tasks/_lib/headers";
-import { type Problem, sendProblem } from "../../tasks/_lib/problem";
+import { type Problem } from "../../tasks/_lib/problem";
 import { type RequestBody } from "../../tasks/_lib/readBody";
 import { type Timeout } from "../../tasks/_lib/timerWheel";
 import { type ActiveRequest } from "../activeRequests";
-import { sendBufferedAnswer } from "../ingress";
 import { type LogFields } from "../log";
+import { AnswerWriter } from "./answerWriter";
 import { CallerOrganisation } from "./callerOrganisation";
 import { CallStream } from "./callStream";
 import { type EntryCallDependencies } from "./index";
@@ -29,7 +29,6 @@
 const defaultDeadlineMs = 30_000;
 /** Delay of the refusal after the deadline, so that an answer sent just in time can still arrive, in milliseconds. */
 const expiryMarginMs = 5;
-const closingHeaders: readonly string[] = ["Connection", "close"];
 
 /** Validates a request, reads its body, sends it to an upstream and writes the answer. */
 export class EntryCall implements SendHandler {
@@ -40,6 +39,7 @@
     private readonly parent: ActiveRequest | undefined;
     private route: Route | undefined;
     private readonly caller: CallerOrganisation;
+    private readonly writer: AnswerWriter;
     private deadlineAtMs = 0;
     private sender: RequestSender | undefined;
     private isComplete = false;
@@ -56,6 +56,7 @@
         this.requestId = findHeader(request.rawHeaders, dependencies.headerNames.requestId) ?? "";
         this.host = findHeader(request.rawHeaders, "host") ?? "";
         this.caller = new CallerOrganisation(dependencies.organisations);
+        this.writer = new AnswerWriter(request, () => dependencies.computeTimeLeftMs() < Infinity);
         this.parent = dependencies.activeRequests.findParent(this.requestId);
     }
 
@@ -111,8 +112,7 @@
         wheel.remove(this.deadlineTimeout);
         const remainingMs = this.startedAtMs + this.parseDeadlineMs() - readNowMs();
         this.deadlineTimeout = wheel.add(remainingMs + expiryMarginMs, () => this.expire());
-        this.request.sink.start(this.addClosing(head));
-        return new CallStream(this.request.sink, outcome => {
+        return new CallStream(this.writer.openStream(head), outcome => {
             this.isComplete = true;
             this.end(outcome, head.status);
         });
@@ -121,7 +121,7 @@
     finish({ result, upstreamId, mayHaveRun }: SendResult): void {
         if (result.kind === "answered") {
             this.isComplete = true;
-            sendBufferedAnswer(this.request.sink, this.request.method, this.addClosing(result.head), result.body!);
+            this.writer.writeAnswer(result.head, result.body!);
             this.end("answered", result.head.status);
             return;
         }
@@ -251,10 +251,10 @@
         }
         if (problem.reason === leavingProblem.reason) {
             // Requests that follow in the same pipeline are read in this turn of the event loop.
-            setImmediate(() => this.sendRefusal(problem));
+            setImmediate(() => this.writer.writeProblem(problem));
         }
         else {
-            this.sendRefusal(problem);
+            this.writer.writeProblem(problem);
         }
         this.writeLog("request-refused", {
             status: problem.status,
@@ -265,21 +265,6 @@
         this.end(problem.reason, problem.status);
     }
 
-    private sendRefusal(problem: Problem): void {
-        const { request } = this;
-        const isClosing = request.hasUnreadBody() || this.isConnectionClosing();
-        sendProblem(request.sink, problem, isClosing ? closingHeaders : []);
-    }
-
-    /** Whether the node leaves, so that the caller must not send another request over the connection. */
-    private isConnectionClosing(): boolean {
-        return this.dependencies.computeTimeLeftMs() < Infinity && this.request.isLatestOnConnection();
-    }
-
-    private addClosing(head: AnswerHead): AnswerHead {
-        return this.isConnectionClosing() ? { ...head, rawHeaders: [...head.rawHeaders, ...closingHeaders] } : head;
-    }
-
     private end(outcome: string, status: number): void {
         const { wheel, metrics, readNowMs } = this.dependencies;
         wheel.remove(this.deadlineTimeout);
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -75,6 +75,10 @@
     }
 
     handle(request: CallRequest): void {
+        if (request.isBehindClose) {
+            this.dependencies.log.write("request-unread", { path: request.url });
+            return;
+        }
         this.inFlight += 1;
         const call = new EntryCall(request, this.dependencies, () => {
             this.inFlight -= 1;
--- a/src/relay/plannedStop.test.ts
+++ b/src/relay/plannedStop.test.ts
@@ -79,6 +79,58 @@
         expect(text.match(/connection: close/giu)).toHaveLength(1);
     });
 
+    // Guards against answers that are dropped behind one that waited for its turn and then closed the connection.
+    it.each([1, 3, 8])(
+        "answers the requests that follow while %i answers wait for an earlier one",
+        async waitingCount => {
+            const member = await startFleet(30);
+            await beginStop(member);
+            const { host, port } = member.settings.entry;
+            const socket = connect(port, host);
+            const chunks: string[] = [];
+            const closed = once(socket, "close");
+            socket.on("data", chunk => chunks.push(chunk.toString("latin1")));
+            const send = (id: string): boolean => socket.write(formatRequest({ id, deadlineMs: 1_500 }));
+            const countReceived = (): number =>
+                fleet.members.flatMap(({ receivedRequests: received }) => received).length;
+            send(holdingId);
+            Array.from({ length: waitingCount }, (unused, index) => send(`w-${index}`));
+            await awaitUntil(() => countReceived() === 2 + waitingCount);
+            await new Promise(resolve => setTimeout(resolve, 200));
+            send("late-1");
+            send("late-2");
+            await closed;
+            const text = chunks.join("");
+            // The first one holds the node open; each other one that an upstream has got is answered.
+            expect(listStatuses(text)).toHaveLength(countReceived() - 1);
+            expect(listStatuses(text).length).toBeGreaterThanOrEqual(1 + waitingCount);
+            expect(text.match(/connection: close/giu)).toHaveLength(1);
+        },
+    );
+
+    it("passes no request on that follows an answer which closes the connection", async () => {
+        const member = await startFleet(10);
+        await beginStop(member);
+        const { host, port } = member.settings.entry;
+        const socket = connect(port, host);
+        let text = "";
+        socket.on("data", (chunk: Buffer) => {
+            text += chunk.toString("latin1");
+            if (text.includes("close")) {
+                socket.write(formatRequest({ id: "behind", deadlineMs: shortDeadlineMs }));
+            }
+        });
+        socket.on("error", () => undefined);
+        const closed = once(socket, "close");
+        socket.write(formatRequest({ id: "r-0", deadlineMs: shortDeadlineMs }));
+        await closed;
+        await stopped;
+        const ids = fleet.members.flatMap(({ receivedRequests: received }) => received)
+            .map(({ headers }) => headers[testHeaderNames.requestId]);
+        expect(ids).not.toContain("behind");
+        expect(listStatuses(text)).toEqual(["200"]);
+    });
+
     it("tells callers with each answer that it closes the connection", async () => {
         const member = await startFleet(10);
         await beginStop(member);
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -1,8 +1,8 @@
 /** Requests as the ingress and the egress handle them, independent of whether they arrived over HTTP. */
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type Socket } from "node:net";
 import { maxReplayBodyBytes } from "../../constants";
 import { type AnswerSink, ResponseSink } from "./answerSink";
+import { CallConnection } from "./callConnection";
 import { findHeader, replacedRequestHeaders, stripHeaders } from "./headers";
 import { type BodyOptions, type BodyResult, readBody, type RequestBody } from "./readBody";
 
@@ -19,11 +19,19 @@
      * The connection should then be closed with the answer, since its rest would have to be read first.
      */
     hasUnreadBody(): boolean;
+    /** Whether an earlier answer closes the connection, so that the client sends this request again as an unread one. */
+    readonly isBehindClose: boolean;
+    /** Calls `handle` when the answers to all earlier requests of the connection have been written; at once if they have. */
+    onTurn(handle: () => void): void;
+    /** Whether the answers to all earlier requests of the connection have been written. */
+    isTurn(): boolean;
     /**
      * Whether no later request has been received over the same connection. The connection may close with the answer
      * only then: the answers to pipelined requests that follow would be lost.
      */
     isLatestOnConnection(): boolean;
+    /** Records that the answer that is written now closes the connection: requests that follow are not read any more. */
+    beginClosing(): void;
     /** Reads the body into memory or opens its stream, as the options require, then calls `onFinished` once. */
     readBody(options: BodyOptions, onFinished: (result: BodyResult) => void): void;
     /** Calls `handle` if the client closes the connection before the answer is complete. */
@@ -51,22 +59,23 @@
     return rawHeaders;
 };
 
-/** The latest request that each connection has received. */
-const latestRequests = new WeakMap<Socket, IncomingMessage>();
-
 /** Request that was received over HTTP. */
 export class HttpCallRequest implements CallRequest {
     readonly method: string;
     readonly url: string;
     readonly rawHeaders: readonly string[];
     readonly sink: AnswerSink;
+    readonly isBehindClose: boolean;
+    private readonly connection: CallConnection;
 
     constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse) {
         this.method = request.method!;
         this.url = request.url!;
         this.rawHeaders = request.rawHeaders;
         this.sink = new ResponseSink(response);
-        latestRequests.set(request.socket, request);
+        this.connection = CallConnection.get(request.socket);
+        this.isBehindClose = this.connection.isClosing;
+        this.connection.addRequest(request);
     }
 
     hasUnreadBody(): boolean {
@@ -76,7 +85,23 @@
     }
 
     isLatestOnConnection(): boolean {
-        return latestRequests.get(this.request.socket) === this.request;
+        return this.connection.isLatest(this.request);
+    }
+
+    isTurn(): boolean {
+        return Boolean(this.response.socket);
+    }
+
+    onTurn(handle: () => void): void {
+        if (this.isTurn()) {
+            handle();
+            return;
+        }
+        this.response.once("socket", handle);
+    }
+
+    beginClosing(): void {
+        this.connection.beginClosing();
     }
 
     readBody(options: BodyOptions, onFinished: (result: BodyResult) => void): void {
--- a/src/testing/fakeExchange.ts
+++ b/src/testing/fakeExchange.ts
@@ -22,10 +22,24 @@
         return false;
     }
 
+    readonly isBehindClose = false;
+
+    isTurn(): boolean {
+        return true;
+    }
+
+    onTurn(handle: () => void): void {
+        handle();
+    }
+
     isLatestOnConnection(): boolean {
         return true;
     }
 
+    beginClosing(): void {
+        // A fake request has no connection.
+    }
+
     readBody(options: BodyOptions, finish: (result: BodyResult) => void): void {
         const isTooLarge = this.body !== undefined && this.body.length > options.maxBytes;
         finish(isTooLarge ? { kind: "too-large" } : { kind: "body", body: this.body });
