Check after a lost connection whether the upstream has crashed

Cause: a crash was recognized only if another request failed to open a connection within 400 ms after one was lost. Ruled out: reports between nodes that get lost (none was sent), and the threshold of two crashes.

The node opens a connection itself 50 ms after a loss, once for all that are lost together, and suspects their requests if it is refused.

--- a/src/relay/incarnations.test.ts
+++ b/src/relay/incarnations.test.ts
@@ -48,6 +48,29 @@
     });
 });
 
+describe("a request that crashes upstreams of a quiet service", () => {
+    // Guards against a request that crashes upstreams for ever, since no other request shows that they are down.
+    it.each(["reset", "end"])("is refused although nothing else is sent (connections that %s)", async ending => {
+        const poisonPath = "/lookup/poison";
+        const crash = (index: number): UpstreamHandler => request => {
+            if (ending === "end") {
+                request.socket.end("HTTP/1.1 200 OK\r\n");
+            }
+            fleet.members[index]!.crash(250);
+        };
+        fleet = await startRelayFleet([0, 1, 2].map(index => ["desk", crash(index)] as const));
+        fleet.publish(table);
+        const statuses: number[] = [];
+        for (let round = 0; round < 6; round += 1) {
+            const member = fleet.members[round % fleet.members.length]!;
+            statuses.push((await sendToEntry(member, { path: poisonPath, id: `p-${round}` })).status);
+            await new Promise(resolve => setTimeout(resolve, 400));
+        }
+        expect(fleet.members.flatMap(({ receivedRequests }) => receivedRequests).length).toBeLessThanOrEqual(4);
+        expect(statuses.slice(-3)).toEqual([503, 503, 503]);
+    });
+});
+
 describe("an address taken over by another upstream", () => {
     it("runs no request that was sent to the former upstream", async () => {
         const rejectOtherTargets: UpstreamHandler = (request, response) => {
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -19,6 +19,7 @@
 import { Entry, type SendHop } from "./entry";
 import { Ingress } from "./ingress";
 import { emptyHopStats, type HopStats } from "./ingress/servedHop";
+import { isListening } from "./isListening";
 import { KnownUpstreams } from "./knownUpstreams";
 import { LocalConnections } from "./localConnections";
 import { LocalUpstream } from "./localUpstream";
@@ -107,6 +108,7 @@
         this.poisonGuard = new PoisonGuard(settings.node, clock, {
             log: this.log,
             listControlAddresses: () => listControlAddresses(this.directory.list(), this.settings),
+            isUpstreamListening: () => isListening(this.settings.upstream),
         });
         this.viewSync = this.createViewSync();
         this.peers = this.createPeers();
--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -1,5 +1,5 @@
 /** Quarantines requests that crash upstreams, on all nodes of a service. */
-import { type Clock } from "../tasks/_lib/clock";
+import { awaitDelay, type Clock } from "../tasks/_lib/clock";
 import { findHeader } from "../tasks/_lib/headers";
 import { MessageBus } from "../tasks/messages";
 import { computeRequestFingerprint, Quarantine } from "../tasks/quarantine";
@@ -13,10 +13,14 @@
     readonly log: EventLog;
     /** Returns the control addresses of the nodes whose upstreams may receive the same requests. */
     readonly listControlAddresses: () => readonly Address[];
+    /** Checks whether the local upstream accepts connections. */
+    readonly isUpstreamListening: () => Promise<boolean>;
 }
 
 /** Time after a lost connection within which a refused connection indicates an upstream crash, in milliseconds. */
 const crashWindowMs = 400;
+/** Time after a lost connection at which it is checked whether the upstream has crashed, in milliseconds. */
+const crashCheckDelayMs = 50;
 /** Maximum number of interrupted requests that are remembered until a crash is detected. */
 const maxInterruptedRequests = 400;
 
@@ -31,6 +35,7 @@
     private readonly bus = new MessageBus();
     private readonly quarantine: Quarantine;
     private interruptedRequests: InterruptedRequest[] = [];
+    private isChecking = false;
 
     constructor(
         private readonly node: string,
@@ -52,17 +57,37 @@
 
     /**
      * Records that the connection to the upstream was lost during a request (`wasSent`) or could not be opened. A
-     * connection that cannot be opened soon after another one was lost means that the upstream crashed.
+     * connection that cannot be opened soon after another one was lost means that the upstream crashed. On a quiet
+     * service no other request tells it, so that a connection is opened for the purpose.
      */
     recordConnectionLoss(hopRequest: HopRequest, wasSent: boolean): void {
-        const nowMs = this.clock.readMonotonicMs();
         if (wasSent) {
             this.interruptedRequests = [...this.interruptedRequests.slice(1 - maxInterruptedRequests), {
                 fingerprint: computeFingerprint(hopRequest),
-                atMs: nowMs,
+                atMs: this.clock.readMonotonicMs(),
             }];
+            void this.checkUpstream();
+            return;
+        }
+        this.recordSuspects();
+    }
+
+    /** Checks once for all connections that are lost together whether the upstream has crashed. */
+    private async checkUpstream(): Promise<void> {
+        if (this.isChecking) {
             return;
         }
+        this.isChecking = true;
+        await awaitDelay(this.clock, crashCheckDelayMs);
+        const isListening = await this.dependencies.isUpstreamListening();
+        this.isChecking = false;
+        if (!isListening) {
+            this.recordSuspects();
+        }
+    }
+
+    private recordSuspects(): void {
+        const nowMs = this.clock.readMonotonicMs();
         const suspects = this.interruptedRequests.filter(({ atMs }) => nowMs - atMs < crashWindowMs);
         this.interruptedRequests = [];
         suspects.forEach(({ fingerprint }) => this.quarantine.recordCrash(fingerprint));
