Take a refusal without an id only as the first answer of a connection

Cause: a refusal without a request id was taken as the answer to whatever request was under way. Copies with an id were recognized before.

The pool tells whether a connection has carried an answer; a refusal without an id is foreign there, and the request may have run.

--- a/src/relay/connectionPool/index.ts
+++ b/src/relay/connectionPool/index.ts
@@ -1,7 +1,7 @@
 /** Pool of HTTP connections to one address, with one request at a time on each connection. */
 import { connect, type Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { type Dispatch, ExcessFramingError } from "../../tasks/_lib/attempt";
+import { type Dispatch, ExcessFramingError, type PooledHandler } from "../../tasks/_lib/attempt";
 import { type Address } from "../../types";
 
 /** Timeout for opening a connection, in milliseconds. Allows several round trips between failure domains. */
@@ -25,6 +25,8 @@
 interface Connection {
     readonly client: Client;
     idleSinceMs: number;
+    /** Whether the current socket has carried an answer. */
+    isReused: boolean;
     /** Handler of the current request; undefined while the connection is idle. */
     handler: ReleasingHandler | undefined;
 }
@@ -93,11 +95,11 @@
     }
 
     /** Sends a request over the most recently used idle connection if that is safe for it, else over a new one. */
-    dispatch(request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandlers): boolean {
+    dispatch(request: Dispatcher.DispatchOptions, handler: PooledHandler): boolean {
         const isIdempotent = request.idempotent !== false;
         const connection = this.takeConnection(isIdempotent);
         this.busyConnections.add(connection);
-        connection.handler = new ReleasingHandler(handler, () => this.release(connection));
+        connection.handler = new ReleasingHandler(handler, connection, () => this.release(connection));
         return connection.client.dispatch(request, connection.handler);
     }
 
@@ -137,19 +139,22 @@
             pipelining: 1,
             keepAliveTimeout: idleTimeoutMs,
             keepAliveMaxTimeout: idleTimeoutMs,
-            connect: (unused: buildConnector.Options, callback: buildConnector.Callback) =>
+            connect: (unused: buildConnector.Options, callback: buildConnector.Callback) => {
+                connection.isReused = false;
                 openSocket(this.address, callback, {
                     onActivity: this.options.onActivity,
                     onReceived: (socket, newBytes) => connection.handler?.abortExcessFraming(socket, newBytes),
                     onReset: () => connection.handler?.onError(new Error("the connection was reset")),
-                }),
+                });
+            },
         });
-        const connection: Connection = { client, idleSinceMs: 0, handler: undefined };
+        const connection: Connection = { client, idleSinceMs: 0, isReused: false, handler: undefined };
         return connection;
     }
 
     private release(connection: Connection): void {
         connection.handler = undefined;
+        connection.isReused = true;
         this.busyConnections.delete(connection);
         if (this.isClosed) {
             void connection.client.destroy();
@@ -167,7 +172,11 @@
     /** Bytes that the socket had received before the answer. */
     private bytesBefore: number | undefined;
 
-    constructor(private readonly inner: Dispatcher.DispatchHandlers, private readonly release: () => void) {}
+    constructor(
+        private readonly inner: PooledHandler,
+        private readonly connection: Pick<Connection, "isReused">,
+        private readonly release: () => void,
+    ) {}
 
     /** Closes the socket if the answer has far more bytes around its body than in it. */
     abortExcessFraming(socket: Socket, newBytes: number): void {
@@ -183,7 +192,13 @@
     }
 
     onHeaders(status: number, rawHeaders: Buffer[], resume: () => void, statusText: string): boolean {
-        return this.isFinished || (this.inner.onHeaders?.(status, rawHeaders, resume, statusText) ?? true);
+        if (this.isFinished) {
+            return true;
+        }
+        if (this.connection.isReused) {
+            this.inner.onReused?.();
+        }
+        return this.inner.onHeaders?.(status, rawHeaders, resume, statusText) ?? true;
     }
 
     onData(chunk: Buffer): boolean {
--- a/src/relay/ingress/servedHop.ts
+++ b/src/relay/ingress/servedHop.ts
@@ -158,8 +158,8 @@
         sendAttempt(this.dependencies.upstream, { method, path, rawHeaders, body, idempotent }, this.attempt);
     }
 
-    startAnswer(head: AnswerHead): AnswerSink | undefined {
-        if (!this.isOwnAnswer(head)) {
+    startAnswer(head: AnswerHead, isReused: boolean): AnswerSink | undefined {
+        if (!this.isOwnAnswer(head, isReused)) {
             this.isForeignAnswer = true;
             this.dependencies.onForeignAnswer();
             this.attempt!.abort("unframed");
@@ -224,10 +224,11 @@
         return findHeader(head.rawHeaders, this.dependencies.headerNames.notRun) === undefined ? undefined : "rejected";
     }
 
-    private isOwnAnswer(head: AnswerHead): boolean {
+    /** Whether an answer belongs to the request. A refusal without an id may be a late copy unless it is the first answer. */
+    private isOwnAnswer(head: AnswerHead, isReused: boolean): boolean {
         const id = findHeader(head.rawHeaders, this.dependencies.headerNames.requestId);
         if (id === undefined && this.findNotRunReason(head)) {
-            return true;
+            return !isReused;
         }
         const encoding = findHeader(head.rawHeaders, "content-encoding") ?? "";
         return (id ?? "") === this.hopRequest.requestId && identityEncodings.has(encoding);
--- a/src/tasks/_lib/attempt.ts
+++ b/src/tasks/_lib/attempt.ts
@@ -23,14 +23,25 @@
 
 /** Receives the answer and the result of an attempt. */
 export interface AttemptHandler {
-    /** Called with the head of the final answer; returns the sink for the body, or undefined to discard the body. */
-    startAnswer(head: AnswerHead): AnswerSink | undefined;
+    /**
+     * Called with the head of the final answer; returns the sink for the body, or undefined to discard the body.
+     * `isReused` tells that the connection has carried another answer, of which this may be a late copy.
+     */
+    startAnswer(head: AnswerHead, isReused: boolean): AnswerSink | undefined;
     /** Called once, when the answer is complete or the attempt has failed. */
     finish(result: AttemptResult): void;
 }
 
+/** Handler of a request that a connection pool sends. */
+export interface PooledHandler extends Dispatcher.DispatchHandlers {
+    /** Called before the headers of an answer if the connection has carried another answer. */
+    onReused?(): void;
+}
+
 /** The method of a connection pool that sends a request. */
-export type Dispatch = Pick<Dispatcher, "dispatch">;
+export interface Dispatch {
+    dispatch(request: Dispatcher.DispatchOptions, handler: PooledHandler): boolean;
+}
 
 /** Request as it is sent to the upstream or to another node. */
 export interface OutgoingRequest {
@@ -60,12 +71,13 @@
 const decodeRawHeaders = (raw: readonly Buffer[]): string[] => raw.map(text => text.toString("latin1"));
 
 /** Sends a request once and passes its answer to a handler; undici calls the methods whose names begin with "on". */
-export class Attempt implements Dispatcher.DispatchHandlers {
+export class Attempt implements PooledHandler {
     private abortConnection: ((error?: Error) => void) | undefined;
     private abortCause: FailureCause | undefined;
     private head: AnswerHead | undefined;
     private sink: AnswerSink | undefined;
     private isSent = false;
+    private isReused = false;
     /** Whether the sink will call back when it accepts more data. Chunks may arrive until the connection pauses. */
     private isPaused = false;
     private isFinished = false;
@@ -100,6 +112,10 @@
         this.isSent = true;
     }
 
+    onReused(): void {
+        this.isReused = true;
+    }
+
     onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
         if (status < firstFinalStatus || this.isFinished) {
             return true;
@@ -110,7 +126,7 @@
             this.abort("unframed");
             return true;
         }
-        this.sink = this.handler.startAnswer(this.head);
+        this.sink = this.handler.startAnswer(this.head, this.isReused);
         this.resume = resume;
         return true;
     }
