Answer what is pending at the end of a stop, and refuse nested requests that come too late

Cause: nested requests were accepted at any time of a stop, also while the listeners closed, and nothing answered what was pending when the connections were closed. Ruled out: direct requests that come late; their deadlines end before the node closes.

A nested request needs its route's target latency until the end, and its deadline ends there. 150 ms before the connections are closed all pending requests get their final answer.

--- a/src/relay/entry/entryCall.ts
+++ b/src/relay/entry/entryCall.ts
@@ -159,12 +159,23 @@
         if (this.deadlineAtMs <= this.startedAtMs) {
             return describeDeadlineExceeded(false);
         }
-        if (!this.parent && this.deadlineAtMs - this.startedAtMs > computeTimeLeftMs()) {
+        const timeLeftMs = computeTimeLeftMs();
+        if (this.computeNeededMs(route) > timeLeftMs) {
             return leavingProblem;
         }
+        this.deadlineAtMs = Math.min(this.deadlineAtMs, this.startedAtMs + timeLeftMs);
         return undefined;
     }
 
+    /**
+     * Computes the time that has to be left in a stop. A direct request can be sent to another node and needs all its
+     * time; a nested one can't, and would fail the request that it belongs to, so that its usual time is enough.
+     */
+    private computeNeededMs({ targetLatencyMs }: Route): number {
+        const allowedMs = this.deadlineAtMs - this.startedAtMs;
+        return this.parent ? Math.min(allowedMs, targetLatencyMs) : allowedMs;
+    }
+
     /** Returns a problem if a direct request is shed. A shed one is recognized by host and path when it returns. */
     private findShedProblem(): Problem | undefined {
         const { shedding, sampleRandom } = this.dependencies;
@@ -220,8 +231,8 @@
         }
     }
 
-    /** Refuses the request after its deadline; the outcome depends on whether an upstream may have received it. */
-    private expire(): void {
+    /** Refuses the request at the end of its time; the outcome depends on whether an upstream may have received it. */
+    expire(): void {
         if (this.isComplete) {
             return;
         }
--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -53,10 +53,9 @@
     readonly replacedHeadersAndKey: ReadonlySet<string>;
 }
 
-/** Starts an `EntryCall` for each request, and counts the requests without an answer. */
+/** Starts an `EntryCall` for each request, and keeps those without an answer. */
 export class Entry {
-    private inFlight = 0;
-
+    private readonly calls = new Set<EntryCall>();
     private readonly dependencies: EntryCallDependencies;
 
     constructor(dependencies: EntryDependencies) {
@@ -71,7 +70,7 @@
 
     /** Number of requests that have not been answered yet. */
     get pending(): number {
-        return this.inFlight;
+        return this.calls.size;
     }
 
     handle(request: CallRequest): void {
@@ -79,10 +78,13 @@
             this.dependencies.log.write("request-unread", { path: request.url });
             return;
         }
-        this.inFlight += 1;
-        const call = new EntryCall(request, this.dependencies, () => {
-            this.inFlight -= 1;
-        });
+        const call = new EntryCall(request, this.dependencies, () => this.calls.delete(call));
+        this.calls.add(call);
         call.start();
     }
+
+    /** Answers all requests that wait for an answer, since the process ends before theirs might come. */
+    expirePending(): void {
+        [...this.calls].forEach(call => call.expire());
+    }
 }
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -175,7 +175,7 @@
         this.log.writeAlways("node-stopping", { pending: this.entry.pending, atUpstream: this.ingress.pending });
         this.source.stop();
         this.stopping.beginClosing();
-        await this.listeners?.close();
+        await this.listeners?.close(() => this.entry.expirePending());
         this.peers.stop();
         this.organisations.tokens.stop();
         this.pauseGuard.stop();
--- a/src/relay/relayListeners.ts
+++ b/src/relay/relayListeners.ts
@@ -1,6 +1,7 @@
 /** Listeners of a relay node: entry, peers, admin, control and links. */
 import { type IncomingMessage, type RequestListener, type Server as HttpServer, type ServerResponse } from "node:http";
 import { type Server } from "node:net";
+import { closeGraceMs } from "../constants";
 import { closeListener, openListener } from "../tasks/_lib/openListener";
 import { deriveControlAddress, deriveLinkAddress } from "./_lib/deriveAddresses";
 import { type LinkServerDependencies, openLinkListener } from "./link/linkServer";
@@ -21,6 +22,9 @@
  */
 const maxEntryHeaderBytes = 64 * 1024;
 
+/** Time before the connections are closed at which requests without an answer get one, in milliseconds. */
+const expiryMarginMs = 150;
+
 /** Opens and closes the listeners of a node. */
 export class RelayListeners {
     private constructor(private readonly httpServers: readonly HttpServer[], private readonly linkServer: Server) {}
@@ -39,9 +43,13 @@
         );
     }
 
-    /** Closes the listeners; call it when all requests have been answered, since it also closes HTTP connections. */
-    async close(): Promise<void> {
+    /**
+     * Closes the listeners, and all connections within `closeGraceMs`. Calls `expirePending` shortly before, so that
+     * requests without an answer get one.
+     */
+    async close(expirePending: () => void): Promise<void> {
         this.linkServer.close();
+        setTimeout(expirePending, closeGraceMs - expiryMarginMs).unref();
         await Promise.all(this.httpServers.map(closeListener));
     }
 }
