Keep the handlers of stop signals for the life of the process

Cause: the handler was registered for one signal; Node.js gives the signal back its default action once it is removed.

--- a/src/commands/runNode/index.ts
+++ b/src/commands/runNode/index.ts
@@ -9,7 +9,7 @@
 
 const awaitStopSignal = (): Promise<string> =>
     new Promise(resolve => {
-        ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => resolve(signal)));
+        ["SIGTERM", "SIGINT"].forEach(signal => process.on(signal, () => resolve(signal)));
     });
 
 /**
