Cancel all requests of a connection that its caller has closed

Cause: Node.js emits the closing of a connection only on the response that is being written. Ruled out: the cancelling between nodes.

CallConnection listens to the socket and tells all requests without an answer.

--- a/src/tasks/_lib/callConnection.ts
+++ b/src/tasks/_lib/callConnection.ts
@@ -1,9 +1,10 @@
 import { type IncomingMessage } from "node:http";
 import { type Socket } from "node:net";
 
-/** The requests that one connection has received, and whether an answer closes it. */
+/** The requests that one connection has received, whether an answer closes it, and what its end concerns. */
 export class CallConnection {
     private static readonly connections = new WeakMap<Socket, CallConnection>();
+    private readonly closeHandlers = new Set<() => void>();
     private latest: IncomingMessage | undefined;
     private hasClosingAnswer = false;
 
@@ -15,6 +16,7 @@
         }
         const connection = new CallConnection();
         CallConnection.connections.set(socket, connection);
+        socket.once("close", () => connection.closeHandlers.forEach(handle => handle()));
         return connection;
     }
 
@@ -33,6 +35,12 @@
         return this.latest === request;
     }
 
+    /** Calls `handle` when the connection has closed; returns a function that prevents it. */
+    onClose(handle: () => void): () => void {
+        this.closeHandlers.add(handle);
+        return () => void this.closeHandlers.delete(handle);
+    }
+
     /** Records that the answer that is written now closes the connection. */
     beginClosing(): void {
         this.hasClosingAnswer = true;
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -112,10 +112,7 @@
     }
 
     onEarlyClose(handle: () => void): void {
-        this.response.once("close", () => {
-            if (!this.response.writableFinished) {
-                handle();
-            }
-        });
+        // Node.js emits nothing on the responses behind the first one when their connection closes.
+        this.response.once("finish", this.connection.onClose(handle));
     }
 }
