Reset a connection when the turn of an aborted answer comes

Suspected in the review's report: a streamed answer that breaks off while it waits behind an earlier one of its connection left the connection open without an answer.

Cause: the answer has no socket yet, and resetting it did nothing. The connection is reset when the answer gets its socket, after the earlier one has been sent.

--- a/src/tasks/_lib/answerSink.ts
+++ b/src/tasks/_lib/answerSink.ts
@@ -49,7 +49,12 @@
             this.response.destroy();
             return;
         }
-        this.response.socket?.resetAndDestroy();
+        if (this.response.socket) {
+            this.response.socket.resetAndDestroy();
+            return;
+        }
+        // The answer waits for an earlier one of its connection, which is still written.
+        this.response.once("socket", socket => socket.resetAndDestroy());
     }
 }
 
