Wait in a stop until answers have been sent, not only written

Cause: a request counted as answered once its answer had been handed to the connection; idle connections are closed soon after that.

Entry.pending counts requests until their answer has been sent or their connection has closed. The stop is still bounded by its grace.

--- a/src/relay/entry/index.ts
+++ b/src/relay/entry/index.ts
@@ -56,6 +56,7 @@
 /** Starts an `EntryCall` for each request, and keeps those without an answer. */
 export class Entry {
     private readonly calls = new Set<EntryCall>();
+    private unsentAnswers = 0;
     private readonly dependencies: EntryCallDependencies;
 
     constructor(dependencies: EntryDependencies) {
@@ -68,9 +69,9 @@
         };
     }
 
-    /** Number of requests that have not been answered yet. */
+    /** Number of requests whose answer has not been sent yet; callers may read it slowly. */
     get pending(): number {
-        return this.calls.size;
+        return Math.max(this.calls.size, this.unsentAnswers);
     }
 
     handle(request: CallRequest): void {
@@ -78,6 +79,10 @@
             this.dependencies.log.write("request-unread", { path: request.url });
             return;
         }
+        this.unsentAnswers += 1;
+        request.onEnd(() => {
+            this.unsentAnswers -= 1;
+        });
         const call = new EntryCall(request, this.dependencies, () => this.calls.delete(call));
         this.calls.add(call);
         call.start();
--- a/src/relay/slowReaders.test.ts
+++ b/src/relay/slowReaders.test.ts
@@ -1,4 +1,4 @@
-/** Load pattern: callers whose answers wait for an earlier one of their connection. */
+/** Load pattern: callers that read their answers slowly, or whose answers wait for an earlier one of their connection. */
 import { once } from "node:events";
 import { connect } from "node:net";
 import { createRoute, createRoutingTable } from "../testing/createRoute";
@@ -7,6 +7,7 @@
     formatRequest,
     type RelayFleet,
     sendOkAnswer,
+    sendUpstreamAnswer,
     startRelayFleet,
     testHeaderNames,
     type UpstreamHandler,
@@ -24,6 +25,37 @@
     fleet.publish(table);
 };
 
+describe("a caller that reads slowly while a node stops", () => {
+    // Guards against answers that are complete, but cut off before their caller has read them.
+    it("gets all its answers", async () => {
+        const body = "0123456789".repeat(25_000);
+        const count = 60;
+        await startFleet((request, response) => sendUpstreamAnswer(request, response, 200, body));
+        const [gate, desk] = fleet.members;
+        const socket = connect(gate!.settings.entry.port, gate!.settings.entry.host);
+        let receivedBytes = 0;
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => receivedBytes += chunk.length);
+        socket.pause();
+        for (let index = 0; index < count; index += 1) {
+            socket.write(formatRequest({ id: `r-${index}`, deadlineMs }));
+        }
+        let received = -1;
+        await awaitUntil(async () => {
+            const isStill = received > 0 && received === desk!.receivedRequests.length;
+            received = desk!.receivedRequests.length;
+            await new Promise(resolve => setTimeout(resolve, 200));
+            return isStill;
+        });
+        const stopped = gate!.node.stop();
+        await new Promise(resolve => setTimeout(resolve, 1_200));
+        const closed = once(socket, "close");
+        socket.resume();
+        await Promise.all([stopped, closed]);
+        expect(receivedBytes).toBeGreaterThan(desk!.receivedRequests.length * body.length);
+    });
+});
+
 describe("a long answer that breaks off while it waits for an earlier one", () => {
     // Guards against a connection that stays open without an answer.
     it("closes the connection after the earlier answer", async () => {
--- a/src/tasks/_lib/callRequest.ts
+++ b/src/tasks/_lib/callRequest.ts
@@ -36,6 +36,8 @@
     readBody(options: BodyOptions, onFinished: (result: BodyResult) => void): void;
     /** Calls `handle` if the client closes the connection before the answer is complete. */
     onEarlyClose(handle: () => void): void;
+    /** Calls `handle` once when the answer has been sent or the connection has closed. */
+    onEnd(handle: () => void): void;
 }
 
 /** Finds the first value of a header of a request; the name must be in lower case. */
@@ -115,4 +117,12 @@
         // Node.js emits nothing on the responses behind the first one when their connection closes.
         this.response.once("finish", this.connection.onClose(handle));
     }
+
+    onEnd(handle: () => void): void {
+        const removeHandler = this.connection.onClose(handle);
+        this.response.once("finish", () => {
+            removeHandler();
+            handle();
+        });
+    }
 }
--- a/src/testing/fakeExchange.ts
+++ b/src/testing/fakeExchange.ts
@@ -49,6 +49,10 @@
         this.closeHandler = handle;
     }
 
+    onEnd(): void {
+        // A fake request is answered at once.
+    }
+
     /** Simulates a caller that closes its connection before the answer is complete. */
     close(): void {
         this.closeHandler?.();
