--- a/src/decisions/isQuarantined/test.ts
+++ b/src/decisions/isQuarantined/test.ts
@@ -28,6 +28,27 @@
         expect(isQuarantined(recordCrashes(crashes), kind, nowMs)).toBe(expected);
     });
 
+    // Guards against a request that comes for hours and crashes two upstreams in each minute.
+    it("lets a request that keeps coming crash fewer and fewer upstreams", () => {
+        let history: CrashHistory = { crashes: [] };
+        const crashTimes: number[] = [];
+        for (let nowMs = 0; nowMs < 3_600_000; nowMs += 2_500) {
+            ["a", "b"].forEach((endpoint, index) => {
+                if (!isQuarantined(history, "idempotent", nowMs + index)) {
+                    crashTimes.push(nowMs);
+                    history = recordCrash(history, createCrash(endpoint, nowMs + index));
+                }
+            });
+        }
+        expect(crashTimes.map(atMs => Math.round(atMs / 60_000))).toEqual([0, 0, 1, 3, 7, 15, 31]);
+    });
+
+    it("ends a quarantine after a minute at first", () => {
+        const history = recordCrashes([createCrash("a", 0), createCrash("b", 5)]);
+        expect(isQuarantined(history, "idempotent", 59_000)).toBe(true);
+        expect(isQuarantined(history, "idempotent", 60_010)).toBe(false);
+    });
+
     it("records no more crashes than the threshold needs", () => {
         const crashes = [0, 2_000, 4_000, 6_000].map(atMs => createCrash("a", atMs));
         expect(recordCrashes(crashes).crashes.map(crash => crash.atMs)).toEqual([4_000, 6_000]);
