Check twice whether an upstream has crashed

A listener may close a little later than the connections of a crashing process; one check 50 ms after the loss would be passed then. Test in poisonGuard.test.ts: fails with one check. A second check follows 250 ms after the first.

--- a/src/relay/poisonGuard.test.ts
+++ b/src/relay/poisonGuard.test.ts
@@ -54,6 +54,16 @@
         expect(countChecks()).toBe(2);
     });
 
+    it("suspects a request whose upstream refuses connections only a little later", async () => {
+        let checks = 0;
+        const { guard, runFor } = createGuard(() => (checks += 1) % 2 === 1);
+        for (let crash = 0; crash < 2; crash += 1) {
+            guard.recordConnectionLoss(createHopRequest("/1"), true);
+            await runFor(1_500);
+        }
+        expect(guard.isQuarantined(createHopRequest("/1"))).toBe(true);
+    });
+
     it("suspects no request whose connection is lost while the upstream goes on", async () => {
         const { guard, runFor } = createGuard(() => true);
         for (let loss = 0; loss < 5; loss += 1) {
--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -21,6 +21,8 @@
 const crashWindowMs = 400;
 /** Time after a lost connection at which it is checked whether the upstream has crashed, in milliseconds. */
 const crashCheckDelayMs = 50;
+/** Pause before the last check, in milliseconds: the upstream's listener may close a little later than its connections. */
+const lastCrashCheckDelayMs = 250;
 /** Maximum number of interrupted requests that are remembered until a crash is detected. */
 const maxInterruptedRequests = 400;
 
@@ -72,20 +74,29 @@
         this.recordSuspects();
     }
 
-    /** Checks once for all connections that are lost together whether the upstream has crashed. */
+    /** Checks for all connections that are lost together whether the upstream has crashed. */
     private async checkUpstream(): Promise<void> {
         if (this.isChecking) {
             return;
         }
         this.isChecking = true;
         await awaitDelay(this.clock, crashCheckDelayMs);
-        const isListening = await this.dependencies.isUpstreamListening();
+        let isListening = await this.dependencies.isUpstreamListening();
+        while (isListening && this.hasInterruptedWithin(lastCrashCheckDelayMs)) {
+            await awaitDelay(this.clock, lastCrashCheckDelayMs);
+            isListening = await this.dependencies.isUpstreamListening();
+        }
         this.isChecking = false;
         if (!isListening) {
             this.recordSuspects();
         }
     }
 
+    private hasInterruptedWithin(durationMs: number): boolean {
+        const latest = this.interruptedRequests[this.interruptedRequests.length - 1];
+        return latest !== undefined && this.clock.readMonotonicMs() - latest.atMs < durationMs;
+    }
+
     private recordSuspects(): void {
         const nowMs = this.clock.readMonotonicMs();
         const suspects = this.interruptedRequests.filter(({ atMs }) => nowMs - atMs < crashWindowMs);
