Play an upgrade with real processes of two builds

bench upgrade replaces the nodes of one build by those of another one by one, and back, under load, and judges from what callers and upstreams see.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,10 +5,13 @@
 import { runLatency } from "./latency";
 import { runLimits } from "./limits";
 import { runLoads } from "./loads";
+import { runUpgrade } from "./upgrade";
 import { runVirtual } from "./virtual";
 import { type ControlKind } from "./virtual/types";
 
 const distFolder = __dirname;
+const minUpgradeNodes = 4;
+const maxUpgradeNodes = 60;
 const program = cac("bench");
 
 program
@@ -80,6 +83,33 @@
         })
     );
 
+program
+    .command("upgrade", "Replace nodes of one build by those of another under load, and back")
+    .option("--from <folder>", "Work tree of the build before, with its target/ built")
+    .option("--to <folder>", "Work tree of the build after, with its target/ built", { default: `${distFolder}/..` })
+    .option("--nodes <number>", "Number of nodes, 4 to 60", { default: 8 })
+    .option("--out <folder>", "Folder for settings and logs", { default: `${distFolder}/upgrade` })
+    .example("node dist/bench.cjs upgrade --from ../before")
+    .action(async (
+        options: { readonly from?: string; readonly to: string; readonly nodes: number; readonly out: string; },
+    ) => {
+        if (options.from === undefined) {
+            throw new Error("--from is missing: it names the work tree of the build before");
+        }
+        if (!Number.isInteger(options.nodes) || options.nodes < minUpgradeNodes || options.nodes > maxUpgradeNodes) {
+            throw new Error(
+                `--nodes ${options.nodes}: not a whole number from ${minUpgradeNodes} to ${maxUpgradeNodes}`,
+            );
+        }
+        const isCorrect = await runUpgrade({
+            fromFolder: options.from,
+            toFolder: options.to,
+            outFolder: options.out,
+            nodes: options.nodes,
+        });
+        process.exitCode = isCorrect ? 0 : 1;
+    });
+
 program.help();
 
 const runProgram = async (): Promise<void> => {
--- /dev/null
+++ b/bench/upgrade/upgradeFleet.ts
@@ -0,0 +1,194 @@
+/** Nodes of two builds as separate processes on loopback, with their upstreams and the store of the platform. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream, existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { createServer, get, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { headerNames } from "../../platform/headerNames";
+import { FakeStore } from "../../platform/testing/fakeStore";
+import {
+    createConfigEntry,
+    createSettingsText,
+    createUpstreamEntry,
+    derivePorts,
+    type NodePlace,
+    type OperatorRoute,
+    portsPerPlace,
+    readinessPath,
+    settingsFileVariable,
+} from "../../platform/testing/platformFiles";
+
+/** A work tree whose program has been built. */
+export interface Build {
+    readonly name: "from" | "to";
+    readonly folder: string;
+}
+
+/** One start of a request at an upstream. */
+export interface Run {
+    readonly requestId: string;
+    /** Build of the node beside the upstream. */
+    readonly build: Build["name"];
+}
+
+/** A node with its upstream. */
+export interface UpgradeNode {
+    readonly place: NodePlace;
+    readonly upstreamId: string;
+    build: Build;
+    child: ChildProcess | undefined;
+    /** Whether the node's machine is being replaced. */
+    isReplaced: boolean;
+}
+
+const firstPort = 23_000;
+const readyPollMs = 50;
+const maxReadyPolls = 200;
+/** Longest work of a request, in milliseconds. */
+const maxWorkMs = 200;
+/** Body of an answer that is too long to be buffered by a node. */
+export const longBody = "0123456789".repeat(40_000);
+
+/** Returns the path of a build's program; fails with a clear message if it has not been built. */
+export const findProgram = ({ folder }: Build): string => {
+    const program = `${folder}/target/pomelovalve.cjs`;
+    if (!existsSync(program)) {
+        throw new Error(
+            `${folder} has no target/pomelovalve.cjs: run "npm ci" and "node scripts/buildTarget.mjs" there`,
+        );
+    }
+    return program;
+};
+
+const readRunArguments = ({ folder }: Build): readonly string[] =>
+    readFileSync(`${folder}/deploy/system.toml`, "utf8").match(/^run = "node (.*)"/mu)![1]!
+        .split(" ")
+        .filter(word => word.startsWith("--"));
+
+/** Starts, updates and ends the nodes. */
+export class UpgradeFleet {
+    readonly runs: Run[] = [];
+    private readonly store = new FakeStore();
+    private storePort = 0;
+    private readonly upstreams: Server[] = [];
+
+    constructor(readonly nodes: readonly UpgradeNode[], private readonly folder: string) {
+        mkdirSync(folder, { recursive: true });
+    }
+
+    /** Starts the store, the upstreams and all nodes. */
+    async start(routes: readonly OperatorRoute[]): Promise<void> {
+        this.storePort = await this.store.open();
+        this.publish(1, routes);
+        await Promise.all(this.nodes.map(node => this.openUpstream(node)));
+        this.nodes.forEach(({ place, upstreamId }) => this.store.write(...createUpstreamEntry(place, upstreamId, 1)));
+        this.nodes.forEach(node => this.startNode(node, true));
+        await Promise.all(this.nodes.map(node => this.awaitReady(node)));
+    }
+
+    /** Publishes a configuration. */
+    publish(version: number, routes: readonly OperatorRoute[]): void {
+        this.store.write(...createConfigEntry(version, routes));
+    }
+
+    /** Stops a node and starts it with another build; callers have to stay away while it is being replaced. */
+    async updateNode(node: UpgradeNode, build: Build): Promise<void> {
+        node.isReplaced = true;
+        node.child!.kill("SIGTERM");
+        await once(node.child!, "exit");
+        node.build = build;
+        this.startNode(node, false);
+        await this.awaitReady(node);
+        node.isReplaced = false;
+    }
+
+    /** Ends all processes that were started. */
+    stop(): void {
+        this.nodes.forEach(({ child }) => child?.kill("SIGKILL"));
+        this.store.close();
+        this.upstreams.forEach(server => {
+            server.closeAllConnections();
+            server.close();
+        });
+    }
+
+    /** Whether a node says that it is ready. */
+    isReady({ place }: UpgradeNode): Promise<boolean> {
+        return new Promise(resolve => {
+            const request = get({
+                host: place.host,
+                port: derivePorts(place).admin,
+                path: readinessPath,
+                agent: false,
+            });
+            request.once("error", () => resolve(false));
+            request.once("response", response => {
+                response.resume();
+                resolve(response.statusCode === 200);
+            });
+        });
+    }
+
+    private startNode(node: UpgradeNode, isFirstStart: boolean): void {
+        const { place, build } = node;
+        const settingsFile = `${this.folder}/${place.name}.json`;
+        writeFileSync(settingsFile, createSettingsText(place, this.storePort, isFirstStart));
+        node.child = spawn(process.execPath, [...readRunArguments(build), findProgram(build)], {
+            cwd: build.folder,
+            env: { PATH: process.env["PATH"], [settingsFileVariable]: settingsFile },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        const log = createWriteStream(`${this.folder}/${place.name}.log`, { flags: "a" });
+        node.child.stdout!.pipe(log, { end: false });
+        node.child.stderr!.pipe(log, { end: false });
+    }
+
+    private async awaitReady(node: UpgradeNode): Promise<void> {
+        for (let poll = 0; poll < maxReadyPolls; poll += 1) {
+            if (await this.isReady(node)) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, readyPollMs));
+        }
+        throw new Error(`node ${node.place.name} doesn't become ready; its log is in ${this.folder}`);
+    }
+
+    private async openUpstream(node: UpgradeNode): Promise<void> {
+        const server = createServer((request, response) => this.serve(node, request, response));
+        this.upstreams.push(server);
+        server.listen(derivePorts(node.place).upstream, node.place.host);
+        await once(server, "listening");
+    }
+
+    private serve(node: UpgradeNode, request: IncomingMessage, response: ServerResponse): void {
+        const requestId = String(request.headers[headerNames.requestId]);
+        request.resume();
+        if (request.headers[headerNames.target] !== node.upstreamId) {
+            response.writeHead(421, { [headerNames.requestId]: requestId, [headerNames.notRun]: "1" }).end();
+            return;
+        }
+        this.runs.push({ requestId, build: node.build.name });
+        const body = request.url!.endsWith("/long") ? longBody : requestId;
+        setTimeout(() => {
+            response.writeHead(200, { [headerNames.requestId]: requestId, "Content-Length": body.length }).end(body);
+        }, Math.random() * maxWorkMs);
+    }
+}
+
+/** Creates the places of `count` nodes in two failure domains, which alternate between the services. */
+export const createNodes = (count: number, services: readonly string[], build: Build): readonly UpgradeNode[] =>
+    Array.from({ length: count }, (unused, index) => ({
+        place: {
+            name: `node-${index}`,
+            host: `127.0.1.${index + 1}`,
+            firstPort,
+            failureDomain: index < count / 2 ? "a" : "b",
+            service: services[index % services.length]!,
+        },
+        upstreamId: `i-${index}`,
+        build,
+        child: undefined,
+        isReplaced: false,
+    }));
+
+/** Ports that the nodes use, for the message about one that is taken. */
+export const describePorts = (): string => `${firstPort} to ${firstPort + portsPerPlace - 1}`;
