Say more plainly how a watch is given up, and forget nodes that no longer watch

Found in reading the whole change: StoreWatch raced three promises; a ping that isn't answered now aborts the watch, which fails then as any other. WatcherChoice kept a time for each node that had ever lost the store. Behaviour is the same otherwise.

--- a/src/relay/fleet/storeWatch.ts
+++ b/src/relay/fleet/storeWatch.ts
@@ -11,28 +11,27 @@
  * only be missed at the end of its wait. The watch is given up when the store doesn't answer a ping meanwhile.
  */
 export class StoreWatch {
-    constructor(
-        private readonly reader: StoreReader,
-        private readonly clock: Clock,
-    ) {}
+    constructor(private readonly reader: StoreReader, private readonly clock: Clock) {}
 
     /** Waits up to `waitMs` milliseconds for changes since a position. */
-    async watch(position: StorePosition, waitMs: number): Promise<StoreReading> {
+    watch(position: StorePosition, waitMs: number): Promise<StoreReading> {
         const abort = new AbortController();
         const reading = this.reader.watch(position, waitMs, abort.signal);
-        const ended = reading.then(() => "ended" as const);
-        for (;;) {
-            const event = await Promise.race([
-                ended,
-                awaitDelay(this.clock, pingIntervalMs).then(() => "due" as const),
-            ]);
-            const isReached = event === "ended" || await Promise.race([ended, this.reader.ping()]);
-            if (event === "ended" || isReached === "ended") {
-                return reading;
-            }
-            if (!isReached) {
-                abort.abort();
-                return { kind: "failed", detail: "the store answers no ping" };
+        let isEnded = false;
+        void reading.then(() => {
+            isEnded = true;
+        });
+        void this.pingUntil(() => isEnded, abort);
+        return reading;
+    }
+
+    /** Aborts the watch if a ping isn't answered before the watch has ended. */
+    private async pingUntil(isEnded: () => boolean, abort: AbortController): Promise<void> {
+        while (!isEnded()) {
+            await awaitDelay(this.clock, pingIntervalMs);
+            if (!isEnded() && !await this.reader.ping()) {
+                abort.abort(new Error("the store answers no ping"));
+                return;
             }
         }
     }
--- a/src/relay/fleet/watcherChoice.ts
+++ b/src/relay/fleet/watcherChoice.ts
@@ -28,6 +28,7 @@
     /** Chooses one of the watching nodes; there has to be one. */
     choose(hosts: readonly string[]): WatcherQuery {
         const nowMs = this.readNowMs();
+        [...this.retryTimes.keys()].filter(host => !hosts.includes(host)).forEach(host => this.retryTimes.delete(host));
         const due = hosts.filter(host => (this.retryTimes.get(host) ?? -Infinity) <= nowMs);
         const candidates = due.length > 0 ? due : hosts;
         this.turn += 1;
