Read the readiness path and the engine flags in one place each

Found in reading the whole change again: bench upgrade had its own copy of the readiness path of platform/parseSettings, and of the reading of engine flags from the deploy file in platform/target.test.ts. No test or program behaviour changes.

--- a/bench/upgrade/upgradeFleet.ts
+++ b/bench/upgrade/upgradeFleet.ts
@@ -1,9 +1,10 @@
 /** Nodes of two builds as separate processes on loopback, with their upstreams and the store of the platform. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { createWriteStream, existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { createWriteStream, existsSync, mkdirSync, writeFileSync } from "node:fs";
 import { createServer, get, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { headerNames } from "../../platform/headerNames";
+import { readinessPath } from "../../platform/parseSettings";
 import { FakeStore } from "../../platform/testing/fakeStore";
 import {
     createConfigEntry,
@@ -13,7 +14,7 @@
     type NodePlace,
     type OperatorRoute,
     portsPerPlace,
-    readinessPath,
+    readEngineFlags,
     settingsFileVariable,
 } from "../../platform/testing/platformFiles";
 
@@ -59,11 +60,6 @@
     return program;
 };
 
-const readRunArguments = ({ folder }: Build): readonly string[] =>
-    readFileSync(`${folder}/deploy/system.toml`, "utf8").match(/^run = "node (.*)"/mu)![1]!
-        .split(" ")
-        .filter(word => word.startsWith("--"));
-
 /** Starts, updates and ends the nodes. */
 export class UpgradeFleet {
     readonly runs: Run[] = [];
@@ -132,7 +128,7 @@
         const { place, build } = node;
         const settingsFile = `${this.folder}/${place.name}.json`;
         writeFileSync(settingsFile, createSettingsText(place, this.storePort, isFirstStart));
-        node.child = spawn(process.execPath, [...readRunArguments(build), findProgram(build)], {
+        node.child = spawn(process.execPath, [...readEngineFlags(build.folder), findProgram(build)], {
             cwd: build.folder,
             env: { PATH: process.env["PATH"], [settingsFileVariable]: settingsFile },
             stdio: ["ignore", "pipe", "pipe"],
