Add a soak of real processes with changes, leavings, disruptions and odd entries

Nothing in this repository ran 16 nodes in 4 domains as processes for minutes with changes, leavings, cuts, freezes, kills and entries of other writers overlapping; review/lib has one case each, bench upgrade no disruptions.

Change: node dist/bench.cjs soak, seeded. The start of a node moves from bench/upgrade to bench/_lib/targetNode.ts, which both use. No logic of the product changes.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,15 +5,36 @@
 import { runLatency } from "./latency";
 import { runLimits } from "./limits";
 import { runLoads } from "./loads";
+import { reportSoak } from "./soak";
+import { oddEntryKinds } from "./soak/oddEntries";
+import { soakKinds } from "./soak/types";
 import { runUpgrade } from "./upgrade";
 import { runVirtual } from "./virtual";
 import { type ControlKind } from "./virtual/types";
 
 const distFolder = __dirname;
-const minUpgradeNodes = 4;
-const maxUpgradeNodes = 60;
+const minNodes = 4;
+const maxNodes = 60;
 const program = cac("bench");
 
+/** Returns a number of nodes that can run as processes on one machine; throws for any other. */
+const checkNodeCount = (nodes: number): number => {
+    if (!Number.isInteger(nodes) || nodes < minNodes || nodes > maxNodes) {
+        throw new Error(`--nodes ${nodes}: not a whole number from ${minNodes} to ${maxNodes}`);
+    }
+    return nodes;
+};
+
+/** Splits the value of an option at its commas; throws if a part isn't one of the known names. */
+const parseList = <Name extends string>(option: string, text: string, names: readonly Name[]): readonly Name[] =>
+    text.split(",").map(part => {
+        const name = names.find(known => known === part);
+        if (name === undefined) {
+            throw new Error(`${option}: "${part}" is none of ${names.join(", ")}`);
+        }
+        return name;
+    });
+
 program
     .command("demo", "Run the Ertis call graph with a slow fuelpost, without and with pomelovalve")
     .option("--seed <number>", "Seed of the load", { default: 1 })
@@ -96,16 +117,52 @@
         if (options.from === undefined) {
             throw new Error("--from is missing: it names the work tree of the build before");
         }
-        if (!Number.isInteger(options.nodes) || options.nodes < minUpgradeNodes || options.nodes > maxUpgradeNodes) {
-            throw new Error(
-                `--nodes ${options.nodes}: not a whole number from ${minUpgradeNodes} to ${maxUpgradeNodes}`,
-            );
-        }
+        const nodes = checkNodeCount(options.nodes);
         const isCorrect = await runUpgrade({
             fromFolder: options.from,
             toFolder: options.to,
             outFolder: options.out,
-            nodes: options.nodes,
+            nodes,
+        });
+        process.exitCode = isCorrect ? 0 : 1;
+    });
+
+program
+    .command("soak", "Run a fleet of real processes through changes, leavings, disruptions and odd entries")
+    .option("--seed <number>", "Seed of the events", { default: 1 })
+    .option("--seconds <number>", "Length of the load", { default: 120 })
+    .option("--nodes <number>", "Number of nodes, 4 to 60", { default: 16 })
+    .option("--kinds <list>", "Kinds of events, separated by commas", { default: soakKinds.join(",") })
+    .option("--entries <list>", "Kinds of odd entries, separated by commas", {
+        default: Object.keys(oddEntryKinds).join(","),
+    })
+    .option("--builds <list>", "Work trees whose target/ the nodes run in turn", { default: `${distFolder}/..` })
+    .option("--port <number>", "First of the ports that nodes use on 127.0.1.1 and up", { default: 24_000 })
+    .option("--out <folder>", "Folder for settings, logs and the list of events", { default: `${distFolder}/soak` })
+    .example("node dist/bench.cjs soak --seed 3 --kinds config,drain,odd --entries nestedArrays")
+    .action(async (
+        options: {
+            readonly seed: number;
+            readonly seconds: number;
+            readonly nodes: number;
+            readonly kinds: string;
+            readonly entries: string;
+            readonly builds: string;
+            readonly port: number;
+            readonly out: string;
+        },
+    ) => {
+        const kinds = parseList("--kinds", options.kinds, soakKinds);
+        const entryKinds = parseList("--entries", options.entries, Object.keys(oddEntryKinds));
+        const isCorrect = await reportSoak({
+            seed: options.seed,
+            seconds: options.seconds,
+            nodes: checkNodeCount(options.nodes),
+            kinds,
+            entryKinds,
+            workTrees: options.builds.split(","),
+            firstPort: options.port,
+            outFolder: options.out,
         });
         process.exitCode = isCorrect ? 0 : 1;
     });
--- a/bench/upgrade/index.ts
+++ b/bench/upgrade/index.ts
@@ -1,9 +1,10 @@
 /** Replaces the nodes of one build by those of another one by one under load, and back. */
 import { type OperatorRoute } from "../../platform/testing/platformFiles";
 import { renderTable } from "../../src/commands/_lib/renderTable";
+import { findProgram } from "../_lib/targetNode";
 import { judgeUpgrade } from "./judgeUpgrade";
 import { sendOnce, UpgradeCallers } from "./upgradeCallers";
-import { type Build, createNodes, describePorts, findProgram, UpgradeFleet } from "./upgradeFleet";
+import { type Build, createNodes, describePorts, UpgradeFleet } from "./upgradeFleet";
 
 /** Work trees of both builds, and the size of the fleet. */
 export interface UpgradeOptions {
@@ -49,7 +50,7 @@
 ): Promise<boolean> => {
     const from: Build = { name: "from", folder: fromFolder };
     const to: Build = { name: "to", folder: toFolder };
-    [from, to].forEach(findProgram);
+    [from, to].forEach(({ folder }) => findProgram(folder));
     const fleet = new UpgradeFleet(createNodes(count, services, from), outFolder);
     const callers = new UpgradeCallers(fleet, routes);
     const faults: string[] = [];
--- a/bench/upgrade/upgradeFleet.ts
+++ b/bench/upgrade/upgradeFleet.ts
@@ -1,22 +1,19 @@
 /** Nodes of two builds as separate processes on loopback, with their upstreams and the store of the platform. */
-import { type ChildProcess, spawn } from "node:child_process";
+import { type ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { createWriteStream, existsSync, mkdirSync, writeFileSync } from "node:fs";
-import { createServer, get, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { mkdirSync } from "node:fs";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { headerNames } from "../../platform/headerNames";
-import { readinessPath } from "../../platform/parseSettings";
 import { FakeStore } from "../../platform/testing/fakeStore";
 import {
     createConfigEntry,
-    createSettingsText,
     createUpstreamEntry,
     derivePorts,
     type NodePlace,
     type OperatorRoute,
     portsPerPlace,
-    readEngineFlags,
-    settingsFileVariable,
 } from "../../platform/testing/platformFiles";
+import { awaitNodeReady, isNodeReady, startTargetNode } from "../_lib/targetNode";
 
 /** A work tree whose program has been built. */
 export interface Build {
@@ -42,24 +39,11 @@
 }
 
 const firstPort = 23_000;
-const readyPollMs = 50;
-const maxReadyPolls = 200;
 /** Longest work of a request, in milliseconds. */
 const maxWorkMs = 200;
 /** Body of an answer that is too long to be buffered by a node. */
 export const longBody = "0123456789".repeat(40_000);
 
-/** Returns the path of a build's program; fails with a clear message if it has not been built. */
-export const findProgram = ({ folder }: Build): string => {
-    const program = `${folder}/target/pomelovalve.cjs`;
-    if (!existsSync(program)) {
-        throw new Error(
-            `${folder} has no target/pomelovalve.cjs: run "npm ci" and "node scripts/buildTarget.mjs" there`,
-        );
-    }
-    return program;
-};
-
 /** Starts, updates and ends the nodes. */
 export class UpgradeFleet {
     readonly runs: Run[] = [];
@@ -78,7 +62,7 @@
         await Promise.all(this.nodes.map(node => this.openUpstream(node)));
         this.nodes.forEach(({ place, upstreamId }) => this.store.write(...createUpstreamEntry(place, upstreamId, 1)));
         this.nodes.forEach(node => this.startNode(node, true));
-        await Promise.all(this.nodes.map(node => this.awaitReady(node)));
+        await Promise.all(this.nodes.map(({ place }) => awaitNodeReady(place, this.folder)));
     }
 
     /** Publishes a configuration. */
@@ -93,7 +77,7 @@
         await once(node.child!, "exit");
         node.build = build;
         this.startNode(node, false);
-        await this.awaitReady(node);
+        await awaitNodeReady(node.place, this.folder);
         node.isReplaced = false;
     }
 
@@ -109,43 +93,17 @@
 
     /** Whether a node says that it is ready. */
     isReady({ place }: UpgradeNode): Promise<boolean> {
-        return new Promise(resolve => {
-            const request = get({
-                host: place.host,
-                port: derivePorts(place).admin,
-                path: readinessPath,
-                agent: false,
-            });
-            request.once("error", () => resolve(false));
-            request.once("response", response => {
-                response.resume();
-                resolve(response.statusCode === 200);
-            });
-        });
+        return isNodeReady(place);
     }
 
     private startNode(node: UpgradeNode, isFirstStart: boolean): void {
-        const { place, build } = node;
-        const settingsFile = `${this.folder}/${place.name}.json`;
-        writeFileSync(settingsFile, createSettingsText(place, this.storePort, isFirstStart));
-        node.child = spawn(process.execPath, [...readEngineFlags(build.folder), findProgram(build)], {
-            cwd: build.folder,
-            env: { PATH: process.env["PATH"], [settingsFileVariable]: settingsFile },
-            stdio: ["ignore", "pipe", "pipe"],
+        node.child = startTargetNode({
+            place: node.place,
+            storePort: this.storePort,
+            isFirstStart,
+            workTree: node.build.folder,
+            outFolder: this.folder,
         });
-        const log = createWriteStream(`${this.folder}/${place.name}.log`, { flags: "a" });
-        node.child.stdout!.pipe(log, { end: false });
-        node.child.stderr!.pipe(log, { end: false });
-    }
-
-    private async awaitReady(node: UpgradeNode): Promise<void> {
-        for (let poll = 0; poll < maxReadyPolls; poll += 1) {
-            if (await this.isReady(node)) {
-                return;
-            }
-            await new Promise(resolve => setTimeout(resolve, readyPollMs));
-        }
-        throw new Error(`node ${node.place.name} doesn't become ready; its log is in ${this.folder}`);
     }
 
     private async openUpstream(node: UpgradeNode): Promise<void> {
