Log and count failures of the tasks that learn, and show when a node last learned

Change: learning-failed with the task and the error, pomelovalve_learning_failures_total by task, and pomelovalve_learned_age_seconds, the time since the node last heard from the store or from a node that watches it. No decision changes: a task that has ended stays ended.

--- a/src/relay/entry/requestSender.test.ts
+++ b/src/relay/entry/requestSender.test.ts
@@ -69,7 +69,7 @@
         answerTimes: new AnswerTimes(),
         wheel: new TimerWheel(clock, relayTimerTickMs),
         log: new EventLog(pino({ level: "silent" }), readNowMs),
-        metrics: new RelayMetrics(() => ({ ...emptySlotStats, version: 1, upstreams: 4 })),
+        metrics: new RelayMetrics(() => ({ ...emptySlotStats, version: 1, upstreams: 4, learnedAgeMs: 0 })),
         sendHop: (hopRequest, handler) => {
             hops.push({ hopRequest, handler });
             return () => undefined;
--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -51,6 +51,8 @@
     private isOutageKnown = false;
     private isCurrent = false;
     private place = "";
+    /** Monotonic time of the latest query whose answer was current, in milliseconds. */
+    private learnedAtMs = -Infinity;
     private isExpiryPending = false;
     /** Cursors in the views of the nodes that were asked lately, by host. */
     private readonly cursors = new LRUCache<string, ViewCursor>({ max: maxCursors });
@@ -76,6 +78,11 @@
         }
     }
 
+    /** Time since the query whose answer was the latest current one, in milliseconds; Infinity before the first. */
+    get learnedAgeMs(): number {
+        return this.options.clock.readMonotonicMs() - this.learnedAtMs;
+    }
+
     /** Place that the node reads changes from, as it was reported last. */
     get readingPlace(): string {
         return this.place;
@@ -148,6 +155,7 @@
         }
         const result = this.applyBatch(reading.batch, platformPlace);
         this.mustReadAll = result === "gap" || result === "outdated" && reading.batch.isFull;
+        this.recordLearning(result === "applied", askedAt);
         return result === "applied";
     }
 
@@ -160,6 +168,7 @@
             this.view.adoptRenewal(changes.renewalLeftMs ?? 0);
         }
         if (!batch) {
+            this.recordLearning(changes.isCurrent, askedAt);
             return true;
         }
         const { position: previous } = this.view;
@@ -171,6 +180,7 @@
             return false;
         }
         this.cursors.set(host, { viewId, serial });
+        this.recordLearning(changes.isCurrent, askedAt);
         // A watch can continue from a newer position; from the same one it would fail again.
         this.mustReadAll &&= previous !== undefined && comparePositions(batch.position, previous) <= 0;
         return true;
@@ -224,6 +234,12 @@
         this.isExpiryPending = false;
     }
 
+    private recordLearning(isCurrent: boolean, { monotonicMs }: Instant): void {
+        if (isCurrent) {
+            this.learnedAtMs = Math.max(this.learnedAtMs, monotonicMs);
+        }
+    }
+
     private applyTable(table: RoutingTable | undefined, from: string): void {
         if (table && table.version > this.readVersion()) {
             this.listener.onRouting(table, from);
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -79,8 +79,9 @@
     start(listener: SourceListener): void {
         this.state = new FleetState(this.options, listener);
         this.prover = new TableProver(this.options, this.state, listener);
-        void this.runTracking(this.state);
-        void this.prover.run();
+        const reportFailure = (task: string) => (error: Error): void => listener.onLearningFailed(task, error);
+        this.runTracking(this.state).catch(reportFailure("fleet"));
+        this.prover.run().catch(reportFailure("table-proof"));
     }
 
     stop(): void {
@@ -108,6 +109,10 @@
         return this.state?.proof.readAgeMs() ?? Infinity;
     }
 
+    readLearnedAgeMs(): number {
+        return this.state?.learnedAgeMs ?? Infinity;
+    }
+
     recordTableEvidence(evidence: TableEvidence): void {
         this.state?.recordEvidence(evidence);
     }
--- a/src/relay/metrics/index.ts
+++ b/src/relay/metrics/index.ts
@@ -10,6 +10,8 @@
     readonly version: number;
     /** Number of known upstreams. */
     readonly upstreams: number;
+    /** Time since the node last heard from the store or from a node that watches it, in milliseconds. */
+    readonly learnedAgeMs: number;
 }
 
 const durationBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
@@ -37,6 +39,13 @@
         registers: [this.registry],
     });
 
+    private readonly learningFailures = new Counter({
+        name: "pomelovalve_learning_failures_total",
+        help: "Exceptions and hangs of the tasks that learn changes of the configuration and of upstreams, by task.",
+        labelNames: ["task"],
+        registers: [this.registry],
+    });
+
     constructor(readStats: () => RelayStats) {
         const gauges: readonly (readonly [string, string, () => number])[] = [
             [
@@ -56,6 +65,11 @@
                 () => readStats().version,
             ],
             ["pomelovalve_known_upstreams", "Upstreams in the list.", () => readStats().upstreams],
+            [
+                "pomelovalve_learned_age_seconds",
+                "Time since the node last heard from the store or from a node that watches it.",
+                () => readStats().learnedAgeMs / msPerSecond,
+            ],
             ["pomelovalve_resident_memory_bytes", "Resident memory of the node.", () => process.memoryUsage.rss()],
         ];
         gauges.forEach(([name, help, read]) => registerGauge(this.registry, name, help, read));
@@ -67,6 +81,11 @@
         this.durations.observe({ outcome }, durationMs / msPerSecond);
     }
 
+    /** Counts a failure of a task that learns changes. */
+    countLearningFailure(task: string): void {
+        this.learningFailures.inc({ task });
+    }
+
     /** Counts a further attempt at another upstream of a service: a retry after a failure, or a hedged request. */
     countRetry(service: string): void {
         this.retries.inc({ service });
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -102,7 +102,11 @@
             readOwnAddress: () => this.settings.upstream,
         });
         this.upstreamConnections = new LocalConnections(settings.upstream, readNowMs);
-        const readRoutingStats = () => ({ version: this.routing.version, upstreams: this.directory.list().length });
+        const readRoutingStats = () => ({
+            version: this.routing.version,
+            upstreams: this.directory.list().length,
+            learnedAgeMs: source.readLearnedAgeMs(),
+        });
         this.metrics = new RelayMetrics(() => ({ ...this.slots.readStats(), ...readRoutingStats() }));
         this.pauseGuard = new PauseGuard(clock, this.log);
         this.poisonGuard = new PoisonGuard(settings.node, clock, {
@@ -147,6 +151,7 @@
         this.source.start(createSourceListener({
             routing: this.routing,
             log: this.log,
+            metrics: this.metrics,
             onUpstreams: (records, origin) => this.knownUpstreams.updateFromSource(records, origin),
         }));
     }
--- a/src/relay/source.ts
+++ b/src/relay/source.ts
@@ -17,6 +17,8 @@
     readonly onReadingFrom: (place: string, reason: string) => void;
     /** Called when the store has been restored from an older copy. */
     readonly onEra: (era: number, revision: number) => void;
+    /** Called when a task that learns changes has failed by an exception or didn't end; `task` is its name. */
+    readonly onLearningFailed: (task: string, error: Error) => void;
     /** Returns the routing table that the node applies. */
     readonly readTable: () => RoutingTable | undefined;
 }
@@ -31,6 +33,8 @@
     describeTable(version: number): TableAnswer;
     /** Returns the longest time for which the routing table may have been outdated, in ms; Infinity if unknown. */
     readTableAgeMs(): number;
+    /** Returns the time since the node last heard from the store or from a node that watches it, in ms; Infinity if never. */
+    readLearnedAgeMs(): number;
     /** Takes in what another node has said of the newest routing table. */
     recordTableEvidence(evidence: TableEvidence): void;
     /** Takes in records that another node has sent, to find nodes to ask. */
--- a/src/relay/sourceListener.ts
+++ b/src/relay/sourceListener.ts
@@ -1,6 +1,7 @@
 import { type UpstreamRecord } from "../routing/types";
 import { type ListOrigin } from "./fleet/types";
 import { type EventLog } from "./log";
+import { type RelayMetrics } from "./metrics";
 import { type ActiveRouting } from "./routing";
 import { type SourceListener } from "./source";
 
@@ -9,11 +10,12 @@
     readonly routing: ActiveRouting;
     readonly log: EventLog;
     readonly onUpstreams: (records: readonly UpstreamRecord[], origin: ListOrigin) => void;
+    readonly metrics: Pick<RelayMetrics, "countLearningFailure">;
 }
 
 /** Creates the listener that applies what a node's source reads, and logs its errors. */
 export const createSourceListener = (
-    { routing, log, onUpstreams }: SourceListenerDependencies,
+    { routing, log, onUpstreams, metrics }: SourceListenerDependencies,
 ): SourceListener => ({
     onRouting: (table, from) => void routing.adopt(table, from),
     onUpstreams,
@@ -22,5 +24,9 @@
     onUnreadable: (key, detail) => log.writeState("entry-unreadable", { key, detail }),
     onReadingFrom: (place, reason) => log.writeState("fleet-read-from", { place, reason }),
     onEra: (era, revision) => log.writeAlways("platform-restored", { era, revision }),
+    onLearningFailed: (task, error) => {
+        metrics.countLearningFailure(task);
+        log.writeState("learning-failed", { task, detail: error.stack });
+    },
     readTable: () => routing.table,
 });
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -58,6 +58,10 @@
         return this.tableAgeMs;
     }
 
+    readLearnedAgeMs(): number {
+        return 0;
+    }
+
     recordTableEvidence(): void {
         // The age of the table is set by the test.
     }
--- a/src/testing/virtualRelayFleet.ts
+++ b/src/testing/virtualRelayFleet.ts
@@ -118,7 +118,7 @@
             retryBudgets: this.budgets,
             answerTimes: new AnswerTimes(),
             wheel,
-            metrics: new RelayMetrics(() => ({ ...slotQueue.readStats(), version: 1, upstreams: 0 })),
+            metrics: new RelayMetrics(() => ({ ...slotQueue.readStats(), version: 1, upstreams: 0, learnedAgeMs: 0 })),
             computeTimeLeftMs: () => Infinity,
             sendHop: (hopRequest, handler) => this.fleet.sendHop(hopRequest, handler, this),
             sampleRandom,
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -19,6 +19,8 @@
     readonly tracker: FleetTracker;
     table: RoutingTable | undefined;
     records: readonly UpstreamRecord[];
+    /** Tasks that have failed, in order. */
+    readonly failedTasks: string[];
     /** Whether other nodes get no answer from the node. */
     isSilent: boolean;
 }
@@ -71,7 +73,15 @@
             clock: this.clock,
             sampleRandom: createRandom(seed),
         });
-        const node: TrackerNode = { host, failureDomain, tracker, table: undefined, records: [], isSilent: false };
+        const node: TrackerNode = {
+            host,
+            failureDomain,
+            tracker,
+            table: undefined,
+            records: [],
+            failedTasks: [],
+            isSilent: false,
+        };
         this.nodes[index]?.tracker.stop();
         this.nodes[index] = node;
         tracker.start({
@@ -85,6 +95,7 @@
             onUnreadable: () => undefined,
             onReadingFrom: () => undefined,
             onEra: () => undefined,
+            onLearningFailed: task => node.failedTasks.push(task),
             readTable: () => node.table,
         });
         return node;
