--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -4,7 +4,7 @@
 import { createRandom } from "../../src/_lib/createRandom";
 import { renderTable } from "../../src/commands/_lib/renderTable";
 import { findProgram } from "../_lib/targetNode";
-import { judgeSoak, type SoakFault } from "./judgeSoak";
+import { judgeSoak, type SoakBounds, type SoakFault } from "./judgeSoak";
 import { SoakCallers } from "./soakCallers";
 import { SoakEvents } from "./soakEvents";
 import { SoakFleet } from "./soakFleet";
@@ -24,6 +24,7 @@
     /** First of the ports that each node uses on its own address. */
     readonly firstPort: number;
     readonly outFolder: string;
+    readonly bounds?: SoakBounds;
 }
 
 /** What a soak has shown. */
@@ -80,7 +81,7 @@
     const { calls, probes } = callers;
     const { runs, leavings, disruptions, exits, routeLives } = fleet;
     const record = { calls, probes, runs, leavings, disruptions, exits, routes: [...routeLives.values()] };
-    return { record, faults: judgeSoak(record) };
+    return { record, faults: judgeSoak(record, options.bounds) };
 };
 
 const countBy = (labels: readonly string[]): readonly (readonly [string, number])[] => {
--- a/bench/soak/judgeSoak.ts
+++ b/bench/soak/judgeSoak.ts
@@ -1,10 +1,16 @@
 /** Judges from what callers, upstreams and the store have seen whether nodes kept their promises. */
 import { type Disruption, type SoakCall, type SoakRecord, type SoakRun } from "./types";
 
-/** Time within which a configuration has to be in force, in milliseconds. */
-const adoptionMs = 2_000;
-/** Time after which an upstream that leaves gets no new requests, in milliseconds. */
-const drainMs = 2_000;
+/** Bounds of the promises that depend on time. */
+export interface SoakBounds {
+    /** Time within which a configuration has to be in force, in milliseconds. */
+    readonly adoptionMs: number;
+    /** Time after which an upstream that leaves gets no new requests, in milliseconds. */
+    readonly drainMs: number;
+}
+
+/** Bounds of the deployment cai-simgrid. */
+export const deploymentBounds: SoakBounds = { adoptionMs: 2_000, drainMs: 2_000 };
 /** Time after an effect of a version was seen at a node in which the node may still apply an older one, in ms. */
 const rollbackSlackMs = 250;
 /** Time without a disruption after which bounds hold again, in milliseconds. */
@@ -45,7 +51,11 @@
     }
 }
 
-const judgeRoutes = ({ calls, routes }: SoakRecord, calm: CalmTimes): readonly SoakFault[] => {
+const judgeRoutes = (
+    { calls, routes }: SoakRecord,
+    calm: CalmTimes,
+    { adoptionMs }: SoakBounds,
+): readonly SoakFault[] => {
     const lives = new Map(routes.map(life => [life.name, life]));
     const servedSince = new Map<string, number>();
     return [...calls].sort((first, second) => first.sentAtMs - second.sentAtMs).flatMap(
@@ -77,7 +87,11 @@
     );
 };
 
-const judgeLeavings = ({ calls, runs, leavings }: SoakRecord, calm: CalmTimes): readonly SoakFault[] => {
+const judgeLeavings = (
+    { calls, runs, leavings }: SoakRecord,
+    calm: CalmTimes,
+    { drainMs }: SoakBounds,
+): readonly SoakFault[] => {
     const ackTimes = new Map(leavings.map(({ upstreamId, ackAtMs }) => [upstreamId, ackAtMs]));
     const callsById = new Map(calls.map(call => [call.requestId, call]));
     return runs.flatMap((run): readonly SoakFault[] => {
@@ -128,13 +142,13 @@
 };
 
 /** Judges all that a soak has recorded; the faults are in the order of their times. */
-export const judgeSoak = (record: SoakRecord): readonly SoakFault[] => {
+export const judgeSoak = (record: SoakRecord, bounds = deploymentBounds): readonly SoakFault[] => {
     const calm = new CalmTimes(record.disruptions);
     const runsById = new Map<string, SoakRun[]>();
     record.runs.forEach(run => runsById.set(run.requestId, [...runsById.get(run.requestId) ?? [], run]));
     const faults: readonly SoakFault[] = [
-        ...judgeRoutes(record, calm),
-        ...judgeLeavings(record, calm),
+        ...judgeRoutes(record, calm, bounds),
+        ...judgeLeavings(record, calm, bounds),
         ...record.calls.flatMap(call => judgeCall(call, runsById.get(call.requestId) ?? [])),
         ...judgeReadiness(record, calm),
         ...record.exits.map((text): SoakFault => ({ rule: "EXIT", atMs: 0, node: text.split(" ")[0]!, text })),
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -1,6 +1,7 @@
 /** Nodes that track the fleet over a virtual network, each with an upstream in the virtual store. */
 import { createRandom } from "../_lib/createRandom";
 import { FleetTracker } from "../relay/fleet/fleetTracker";
+import { type ChangesClient, type StoreReader } from "../relay/fleet/types";
 import { type RoutingTable, type UpstreamRecord } from "../routing/types";
 import { awaitDelay } from "../tasks/_lib/clock";
 import { createUpstreamRecord } from "./createRoute";
@@ -12,6 +13,23 @@
 const answerTimeoutMs = 400;
 const stepMs = 10;
 
+/** Calls by which a node learns, and the steps in which it takes in what it has learned. */
+export const learningSteps = [
+    "readAll",
+    "watch",
+    "ping",
+    "readTable",
+    "queryChanges",
+    "queryTable",
+    "onRouting",
+    "onUpstreams",
+] as const;
+
+export type LearningStep = typeof learningSteps[number];
+
+/** How a step fails: by an exception, a rejected promise, or a promise that is never settled. */
+export type StepFault = "throw" | "reject" | "hang";
+
 /** A node that tracks the fleet. */
 export interface TrackerNode {
     readonly host: string;
@@ -31,6 +49,9 @@
     readonly store = new VirtualStore(this.clock);
     readonly nodes: TrackerNode[] = [];
 
+    /** Returns how a step of the node at a host fails; undefined if it doesn't. */
+    findFault: (host: string, step: LearningStep) => StepFault | undefined = () => undefined;
+
     /** Whether two nodes are cut off from each other. */
     isCut: (from: string, to: string) => boolean = () => false;
 
@@ -56,20 +77,8 @@
             failureDomain,
             viewId: `${host}/${seed}`,
             isFirstStart,
-            reader: this.store.createReader(host),
-            client: {
-                queryChanges: (peer, query) =>
-                    Promise.race([
-                        this.forwardQuery(peer, host, node => node.tracker.awaitChanges(query)),
-                        awaitDelay(this.clock, query.waitMs + answerTimeoutMs).then(() => undefined),
-                    ]),
-                queryTable: (peer, version) =>
-                    Promise.race([
-                        this.forwardQuery(peer, host, node => Promise.resolve(node.tracker.describeTable(version))),
-                        awaitDelay(this.clock, answerTimeoutMs).then(() => undefined),
-                    ]),
-                close: () => undefined,
-            },
+            reader: this.createReader(host),
+            client: this.createClient(host),
             clock: this.clock,
             sampleRandom: createRandom(seed),
         });
@@ -86,9 +95,11 @@
         this.nodes[index] = node;
         tracker.start({
             onRouting: table => {
+                this.checkFault(host, "onRouting");
                 node.table = table;
             },
             onUpstreams: records => {
+                this.checkFault(host, "onUpstreams");
                 node.records = records;
             },
             onReachability: () => undefined,
@@ -114,6 +125,54 @@
         this.nodes.forEach(({ tracker }) => tracker.stop());
     }
 
+    /** Throws if a step that returns no promise is to fail. */
+    private checkFault(host: string, step: LearningStep): void {
+        if (this.findFault(host, step) !== undefined) {
+            throw new Error(`${step} fails`);
+        }
+    }
+
+    /** Makes a call unless it is to fail. */
+    private callUnlessFaulty<Result>(host: string, step: LearningStep, call: () => Promise<Result>): Promise<Result> {
+        const fault = this.findFault(host, step);
+        if (fault === undefined) {
+            return call();
+        }
+        if (fault === "throw") {
+            throw new Error(`${step} throws`);
+        }
+        return fault === "reject" ? Promise.reject(new Error(`${step} rejects`)) : new Promise(() => undefined);
+    }
+
+    private createReader(host: string): StoreReader {
+        const reader = this.store.createReader(host);
+        return {
+            readAll: options => this.callUnlessFaulty(host, "readAll", () => reader.readAll(options)),
+            watch: (...args) => this.callUnlessFaulty(host, "watch", () => reader.watch(...args)),
+            ping: () => this.callUnlessFaulty(host, "ping", () => reader.ping()),
+            readTable: () => this.callUnlessFaulty(host, "readTable", () => reader.readTable()),
+            close: () => reader.close(),
+        };
+    }
+
+    private createClient(host: string): ChangesClient {
+        return {
+            queryChanges: (peer, query) =>
+                this.callUnlessFaulty(host, "queryChanges", () =>
+                    Promise.race([
+                        this.forwardQuery(peer, host, node => node.tracker.awaitChanges(query)),
+                        awaitDelay(this.clock, query.waitMs + answerTimeoutMs).then(() => undefined),
+                    ])),
+            queryTable: (peer, version) =>
+                this.callUnlessFaulty(host, "queryTable", () =>
+                    Promise.race([
+                        this.forwardQuery(peer, host, node => Promise.resolve(node.tracker.describeTable(version))),
+                        awaitDelay(this.clock, answerTimeoutMs).then(() => undefined),
+                    ])),
+            close: () => undefined,
+        };
+    }
+
     private async forwardQuery<Answer>(
         host: string,
         from: string,
