Describe and check values of any depth without throwing

Cause: checkShape returns faults as values, but described the value found with JSON.stringify, which calls itself for each level: a RangeError where no caller expects one. A schema that follows the depth (the values of a policy patch) throws in the same way, and ends the process of the project's own node, which has no handler. Evidence: learning-failed task=fleet, RangeError in describeValue. Ruled out: JSON.parse (200,000 levels are parsed) and the schema of entries (named fields only). Change: describeValue writes out at most the 60 characters that are shown; checkShape makes a thrown error a fault, and describes at most 100 faults.

--- a/src/_lib/checkShape/index.ts
+++ b/src/_lib/checkShape/index.ts
@@ -1,5 +1,6 @@
 import { type z } from "zod";
 import { type Checked, type Fault } from "../../types";
+import { describeValue } from "../describeValue";
 
 /** Formats the path of a value within a document as JSONPath. */
 const formatPath = (path: readonly PropertyKey[]): string =>
@@ -12,17 +13,6 @@
         input,
     );
 
-const maxValueCharacters = 60;
-
-/** Describes a value for a message: its JSON text, truncated to `maxValueCharacters`, or "nothing" if undefined. */
-const describeValue = (value: unknown): string => {
-    if (value === undefined) {
-        return "nothing";
-    }
-    const text = JSON.stringify(value) ?? String(value);
-    return text.length > maxValueCharacters ? `${text.slice(0, maxValueCharacters)}...` : text;
-};
-
 /** How faults are described. */
 export interface CheckOptions {
     /** Whether the input holds secrets, so that no fault may show a value of it. */
@@ -38,15 +28,26 @@
         : `${issue.message}; found ${describeValue(getValueAt(input, issue.path))}`,
 });
 
-/** Checks a value against a schema; returns the parsed value with defaults applied, or all faults. */
+/** Number of faults that are described; a long list may have one in each of its items. */
+const maxFaults = 100;
+
+/**
+ * Checks a value against a schema; returns the parsed value with defaults applied, or its first faults. A value that is
+ * nested more deeply than the schema can follow has a fault too.
+ */
 export const checkShape = <Schema extends z.ZodType>(
     schema: Schema,
     input: unknown,
     { isSecret = false }: CheckOptions = {},
 ): Checked<z.output<Schema>> => {
-    const result = schema.safeParse(input);
-    if (result.success) {
-        return { ok: true, value: result.data };
+    try {
+        const result = schema.safeParse(input);
+        return result.success ? { ok: true, value: result.data } : {
+            ok: false,
+            faults: result.error.issues.slice(0, maxFaults).map(issue => createFault(input, issue, isSecret)),
+        };
+    }
+    catch (error) {
+        return { ok: false, faults: [{ path: "$", message: `can't be checked: ${(error as Error).message}` }] };
     }
-    return { ok: false, faults: result.error.issues.map(issue => createFault(input, issue, isSecret)) };
 };
--- a/src/policy/parsePolicyLog/test.ts
+++ b/src/policy/parsePolicyLog/test.ts
@@ -54,6 +54,16 @@
         );
     });
 
+    // Guards against a node that ends because a published value is nested more deeply than the schema can follow.
+    it.each([100, 3_000, 200_000])("returns faults for a patch with a value of %d levels", depth => {
+        const log = createLog();
+        const patch = [{ op: "replace", path: "/retryLimit", value: "VALUE" }];
+        const text = JSON.stringify({ ...log, entries: [{ ...log.entries[0]!, patch }] });
+        const parsed = parsePolicyLog(text.replace('"VALUE"', () => "[".repeat(depth) + "]".repeat(depth)));
+        const versions = parsed.ok ? deriveChain(parsed.value).versions : [];
+        expect(parsed.ok ? versions.length : parsed.faults.length).toBe(1);
+    });
+
     it("never derives another policy from a log with one changed value, unless that value is change metadata", () => {
         const log = createLog();
         const paths = listPaths(log);
