Take in only records whose id, address and numbers can be used

Cause: an entry was accepted by a pattern of digits and dots. Who uses it next builds a URL (TypeError), looks up a name, connects to port 99,999 (RangeError) or writes the id into a header.

--- /dev/null
+++ b/src/routing/schema/index.ts
@@ -0,0 +1,31 @@
+/** Schemas of what nodes take in from the platform and from each other. */
+import * as z from "zod";
+import { type UpstreamRecord } from "../types";
+
+const maxNameCharacters = 200;
+const maxPort = 65_535;
+const maxSlots = 1_000_000;
+/** Start times from this one on are no times of a clock, in milliseconds since 1970. */
+const endOfTimeMs = Date.UTC(2100, 0, 1);
+/** Matches addresses of no single host: "this network", multicast, reserved and broadcast. */
+const unusableHost = /^(?:0|22[4-9]|2[3-5]\d)\./u;
+
+const nameSchema = z.string().max(maxNameCharacters);
+/** Ids are sent as the value of a header. */
+const idSchema = nameSchema.regex(/^[!-~]+$/u, "expected visible ASCII characters");
+const countSchema = z.int().min(0);
+const startTimeSchema = z.int().min(0).max(endOfTimeMs);
+
+/** Schema of an upstream's record; any record that conforms to it can be ranked, connected to and named in a header. */
+export const upstreamRecordSchema: z.ZodType<UpstreamRecord> = z.object({
+    id: idSchema,
+    service: nameSchema.min(1),
+    host: z.ipv4().refine(host => !unusableHost.test(host), "expected the address of one host"),
+    port: z.int().min(1).max(maxPort),
+    failureDomain: nameSchema,
+    slots: z.int().min(1).max(maxSlots),
+    state: z.enum(["ready", "draining", "missing"]),
+    warmupLeftMs: z.number().min(0),
+    bornAtMs: startTimeSchema,
+    sequence: countSchema,
+});
