Check the answers of other nodes before they are used

Cause: the answers of other nodes were cast to their types. null instead of a position, or a table without routes or limits, threw where no caller expects it, or came into force; a body was read to its end, whatever its length; a host that is no address threw before the try, and left ViewSync waiting for good (also for the empty host of a socket that has closed). Change: checkAnswers checks changes, tables and views by the schemas of src/routing. Bodies end at 16 MiB.

--- a/src/relay/control/changesClient.ts
+++ b/src/relay/control/changesClient.ts
@@ -1,6 +1,8 @@
 /** Asks other nodes for changes of the fleet view, over one kept connection to each node that is asked. */
 import { LRUCache } from "lru-cache";
+import { type Checked, type Fault } from "../../types";
 import { type ChangesClient, type ChangesQuery, type FleetChanges, type TableAnswer } from "../fleet/types";
+import { checkChanges, checkTableAnswer } from "./checkAnswers";
 import { ControlConnection } from "./client";
 
 /** Time allowed for an answer in addition to the wait of the query, in milliseconds. */
@@ -15,22 +17,24 @@
         dispose: connection => connection.close(),
     });
 
-    constructor(private readonly port: number, private readonly onFailed: (host: string, detail: string) => void) {}
+    /** `onUnreadable` is called with what can't be used of an answer, `onFailed` when there is none to use. */
+    constructor(
+        private readonly port: number,
+        private readonly onFailed: (host: string, detail: string) => void,
+        private readonly onUnreadable: (host: string, detail: string) => void = () => undefined,
+    ) {}
 
     queryChanges(host: string, query: ChangesQuery): Promise<FleetChanges | undefined> {
         return this.callNode(
             host,
             query.waitMs,
-            async ({ changes }, options) => await changes.query(query, options) as FleetChanges,
+            ({ changes }, options) => changes.query(query, options),
+            answer => checkChanges(answer, fault => this.onUnreadable(host, formatFault(fault))),
         );
     }
 
     queryTable(host: string, version: number): Promise<TableAnswer | undefined> {
-        return this.callNode(
-            host,
-            0,
-            async ({ table }, options) => await table.query({ version }, options) as TableAnswer,
-        );
+        return this.callNode(host, 0, ({ table }, options) => table.query({ version }, options), checkTableAnswer);
     }
 
     close(): void {
@@ -43,17 +47,32 @@
         call: (
             procedures: ControlConnection["procedures"],
             options: { readonly signal: AbortSignal; },
-        ) => Promise<Answer>,
+        ) => Promise<unknown>,
+        check: (answer: unknown) => Checked<Answer>,
     ): Promise<Answer | undefined> {
-        const connection = this.connections.get(host) ?? new ControlConnection({ host, port: this.port });
-        this.connections.set(host, connection);
         try {
-            return await call(connection.procedures, { signal: AbortSignal.timeout(waitMs + answerTimeoutMs) });
+            const connection = this.connections.get(host) ?? new ControlConnection({ host, port: this.port });
+            this.connections.set(host, connection);
+            const checked = check(
+                await call(connection.procedures, { signal: AbortSignal.timeout(waitMs + answerTimeoutMs) }),
+            );
+            if (checked.ok) {
+                return checked.value;
+            }
+            const detail = formatFault(checked.faults[0]!);
+            this.onUnreadable(host, detail);
+            this.recordFailure(host, detail);
         }
         catch (error) {
-            this.connections.delete(host);
-            this.onFailed(host, (error as Error).message);
-            return undefined;
+            this.recordFailure(host, (error as Error).message);
         }
+        return undefined;
+    }
+
+    private recordFailure(host: string, detail: string): void {
+        this.connections.delete(host);
+        this.onFailed(host, detail);
     }
 }
+
+const formatFault = ({ path, message }: Fault): string => `${path}: ${message}`;
--- a/src/relay/control/client.ts
+++ b/src/relay/control/client.ts
@@ -1,7 +1,9 @@
 /** Calls of the control procedures of other nodes. */
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Client } from "undici";
-import { type Address } from "../../types";
+import { readLimitedText } from "../../_lib/readLimitedText";
+import { type Address, type Checked, type Fault } from "../../types";
+import { checkView } from "./checkAnswers";
 import { type NodeView, type RelayRouter } from "./index";
 
 /** Timeout of a control call to another node, in milliseconds. */
@@ -9,6 +11,8 @@
 /** Time allowed for opening a connection to another node, in milliseconds. */
 const connectTimeoutMs = 400;
 const okStatus = 200;
+/** Longest answer that is read, in bytes; the records and the routing table of a fleet at the target size take a tenth. */
+const maxAnswerBytes = 16 * 1024 * 1024;
 
 type ClientFetch = NonNullable<Parameters<typeof httpLink>[0]["fetch"]>;
 
@@ -40,34 +44,49 @@
             headersTimeout: 0,
             bodyTimeout: 0,
         });
-        return { ok: statusCode === okStatus, json: () => body.json() };
+        const readJson = async (): Promise<unknown> =>
+            JSON.parse(await readLimitedText(body, maxAnswerBytes)) as unknown;
+        return { ok: statusCode === okStatus, json: readJson };
     }
 }
 
-/** Makes one call over a connection of its own; resolves to undefined if the call fails or times out. */
+/** Makes one call over a connection of its own; resolves to a fault if the call fails or times out. */
 const callOnce = async <Result>(
     address: Address,
     call: (procedures: ControlConnection["procedures"], options: { readonly signal: AbortSignal; }) => Promise<Result>,
-): Promise<Result | undefined> => {
-    const connection = new ControlConnection(address);
+): Promise<Checked<Result>> => {
+    let connection: ControlConnection | undefined;
     try {
-        return await call(connection.procedures, { signal: AbortSignal.timeout(callTimeoutMs) });
+        connection = new ControlConnection(address);
+        return { ok: true, value: await call(connection.procedures, { signal: AbortSignal.timeout(callTimeoutMs) }) };
     }
-    catch {
-        return undefined;
+    catch (error) {
+        return { ok: false, faults: [{ path: "$", message: (error as Error).message }] };
     }
     finally {
-        connection.close();
+        connection?.close();
     }
 };
 
-/** Queries the fleet view of another node; resolves to undefined if the call fails or times out. */
-export const queryView = (address: Address): Promise<NodeView | undefined> =>
-    callOnce(address, async ({ view }, options) => await view.query(undefined, options) as NodeView);
+/**
+ * Queries the fleet view of another node; resolves to undefined if the call fails or times out, or if its answer can't be
+ * used. `onFault` is called with the cause, and with the faults of records that are left out.
+ */
+export const queryView = async (
+    address: Address,
+    onFault: (fault: Fault) => void = () => undefined,
+): Promise<NodeView | undefined> => {
+    const answer = await callOnce<unknown>(address, ({ view }, options) => view.query(undefined, options));
+    const checked = answer.ok ? checkView(answer.value, onFault) : answer;
+    if (!checked.ok) {
+        onFault(checked.faults[0]!);
+        return undefined;
+    }
+    return checked.value;
+};
 
 /** Tells another node that an upstream crashed during a request; resolves to false if the call fails or times out. */
-export const sendSuspect = async (address: Address, fingerprint: string, node: string): Promise<boolean> =>
-    await callOnce(address, async ({ suspect }, options) => {
-        await suspect.mutate({ fingerprint, node }, options);
-        return true;
-    }) === true;
+export const sendSuspect = async (address: Address, fingerprint: string, node: string): Promise<boolean> => {
+    const { ok } = await callOnce(address, ({ suspect }, options) => suspect.mutate({ fingerprint, node }, options));
+    return ok;
+};
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -200,7 +200,8 @@
                     this.source.receivePeers(view.upstreams);
                 }
             },
-            onFailed: host => this.log.write("view-unavailable", { host, version: this.routing.version }),
+            onFailed: (host, detail) =>
+                this.log.write("view-unavailable", { host, version: this.routing.version, detail }),
             readNowMs: this.clock.readMonotonicMs,
         });
     }
--- a/src/relay/viewSync.ts
+++ b/src/relay/viewSync.ts
@@ -10,7 +10,7 @@
     /** Called with the fleet view of the node at a host. */
     readonly onViewReceived: (view: NodeView, host: string) => void;
     /** Called when a query of a node with a higher version failed or timed out. */
-    readonly onFailed: (host: string) => void;
+    readonly onFailed: (host: string, detail: string) => void;
     readonly readNowMs: () => number;
 }
 
@@ -36,10 +36,13 @@
     }
 
     private async query(host: string): Promise<void> {
-        const view = await queryView({ host, port: this.dependencies.controlPort });
+        let detail = "";
+        const view = await queryView({ host, port: this.dependencies.controlPort }, ({ path, message }) => {
+            detail = `${path}: ${message}`;
+        });
         this.isQuerying = false;
         if (!view) {
-            this.dependencies.onFailed(host);
+            this.dependencies.onFailed(host, detail);
             return;
         }
         this.dependencies.onViewReceived(view, host);
--- a/src/routing/schema/index.ts
+++ b/src/routing/schema/index.ts
@@ -1,6 +1,13 @@
 /** Schemas of what nodes take in from the platform and from each other. */
 import * as z from "zod";
-import { type UpstreamRecord } from "../types";
+import {
+    type GoneRecord,
+    type Organisation,
+    type Route,
+    type RoutingTable,
+    type StorePosition,
+    type UpstreamRecord,
+} from "../types";
 
 const maxNameCharacters = 200;
 const maxPort = 65_535;
@@ -29,3 +36,46 @@
     bornAtMs: startTimeSchema,
     sequence: countSchema,
 });
+
+/** Schema of what is remembered of a removed upstream. */
+export const goneRecordSchema: z.ZodType<GoneRecord> = z.object({
+    id: nameSchema,
+    bornAtMs: startTimeSchema,
+    sequence: countSchema,
+});
+
+/** Schema of a position in the history of the store. */
+export const storePositionSchema: z.ZodType<StorePosition> = z.object({ era: countSchema, revision: countSchema });
+
+const routeSchema: z.ZodType<Route> = z.object({
+    name: z.string(),
+    host: z.string(),
+    prefix: z.string(),
+    idempotent: z.boolean(),
+    timeoutMs: z.number(),
+    targetLatencyMs: z.number(),
+    rank: z.number(),
+    maxUpstreams: z.number(),
+    targets: z.array(z.object({ service: z.string(), weight: z.number().positive() })).min(1),
+    isPublic: z.boolean(),
+});
+
+const organisationSchema: z.ZodType<Organisation> = z.object({
+    name: z.string(),
+    keyDigests: z.array(z.string()),
+    rank: z.number().optional(),
+    quota: z.object({ ratePerSecond: z.number(), burst: z.number() }).optional(),
+});
+
+/** Schema of a routing table; a table with one invalid route is invalid. */
+export const routingTableSchema: z.ZodType<RoutingTable> = z.object({
+    version: countSchema,
+    routes: z.array(routeSchema),
+    limits: z.object({
+        maxHeaderBytes: z.number(),
+        maxBodyBytes: z.number(),
+        headerTimeoutMs: z.number(),
+        idleTimeoutMs: z.number(),
+    }),
+    organisations: z.array(organisationSchema).optional(),
+});
