Adopt a routing table as a whole or not at all

Cause: ActiveRouting set the table before its index was built, which threw. Change: the index is built first.

--- a/src/relay/routing/index.ts
+++ b/src/relay/routing/index.ts
@@ -34,8 +34,10 @@
         if (table.version <= this.version) {
             return false;
         }
+        // A table that can't be indexed leaves the former one in force.
+        const routeIndex = createRoutingIndex(table);
         this.currentTable = table;
-        this.routeIndex = createRoutingIndex(table);
+        this.routeIndex = routeIndex;
         this.trafficSplits = new Map();
         this.onAdopted(table, source);
         return true;
