Keep the timer wheel running when a timeout throws

Cause: an exception of one timeout left isExpiring set, so that no timer was ever set again: all requests of the node lost their deadlines, and the other timeouts of the tick were dropped with their bucket. Change: the next timer is set in any case, and timeouts that are still due keep their bucket. A timer longer than 2^31 - 1 ms, which the engine lets expire at once, is set for that time instead, since the wheel then looks again.

--- a/src/tasks/_lib/timerWheel.ts
+++ b/src/tasks/_lib/timerWheel.ts
@@ -10,6 +10,9 @@
     readonly bucket: Set<Timeout>;
 }
 
+/** Longest delay of a timer of the engine, in milliseconds; a longer one would be due at once. */
+const maxTimerMs = 2 ** 31 - 1;
+
 /**
  * Runs many short timeouts on one timer, which is set for the earliest tick that has any. Most timeouts are removed
  * before they expire, so that few ticks are ever reached.
@@ -47,11 +50,16 @@
     expire(): void {
         const nowTick = Math.floor(this.clock.readMonotonicMs() / this.tickMs);
         this.isExpiring = true;
-        [...this.buckets.keys()].filter(tick => tick <= nowTick).sort((a, b) => a - b).forEach(tick =>
-            this.expireBucket(tick)
-        );
-        this.isExpiring = false;
-        this.startNextTimer();
+        try {
+            [...this.buckets.keys()].filter(tick => tick <= nowTick).sort((a, b) => a - b).forEach(tick =>
+                this.expireBucket(tick)
+            );
+        }
+        finally {
+            // Timeouts that are still due after an exception expire at the next turn of the event loop.
+            this.isExpiring = false;
+            this.startNextTimer();
+        }
     }
 
     /** Stops the timer; pending timeouts no longer expire. */
@@ -64,7 +72,7 @@
     private startTimer(tick: number): void {
         this.cancelTimer?.();
         this.nextTick = tick;
-        const delayMs = Math.max(0, tick * this.tickMs - this.clock.readMonotonicMs());
+        const delayMs = Math.min(maxTimerMs, Math.max(0, tick * this.tickMs - this.clock.readMonotonicMs()));
         // A timer may fire a fraction of a millisecond early, before its tick is due.
         this.cancelTimer = this.clock.startTimeout(Math.ceil(delayMs), () => this.expire());
     }
@@ -91,10 +99,10 @@
         if (!bucket) {
             return;
         }
-        this.buckets.delete(tick);
         bucket.forEach(timeout => {
             bucket.delete(timeout);
             timeout.expire();
         });
+        this.buckets.delete(tick);
     }
 }
