Handle the frames behind one whose handler throws

Cause: a handler that threw left the frames behind it in the same bytes unhandled, so that their requests waited until their deadlines. Change: FrameSocket passes the exception to onFrameFailed, logged as frame-failed, and goes on. The fuzz tests rethrow there, so that they are as strict as before.

--- a/src/relay/link/frameSocket.ts
+++ b/src/relay/link/frameSocket.ts
@@ -2,9 +2,13 @@
 import { type Socket } from "node:net";
 import { encodeFrame, type Frame, FrameReader } from "./frames";
 
+/** Called with the exception of a frame that could not be handled. */
+export type FrameFailureListener = (error: Error) => void;
+
 /** Receives the frames of a connection, and its end. */
 export interface FrameListener {
     readonly onFrame: (frame: Frame) => void;
+    readonly onFrameFailed: FrameFailureListener;
     readonly onClose: () => void;
 }
 
@@ -53,6 +57,16 @@
             this.socket.destroy();
             return;
         }
-        frames.forEach(frame => this.listener.onFrame(frame));
+        frames.forEach(frame => this.handleFrame(frame));
+    }
+
+    /** Passes a frame on. A frame that makes its handler throw doesn't keep those behind it from being handled. */
+    private handleFrame(frame: Frame): void {
+        try {
+            this.listener.onFrame(frame);
+        }
+        catch (error) {
+            this.listener.onFrameFailed(error as Error);
+        }
     }
 }
--- a/src/relay/link/fuzz.test.ts
+++ b/src/relay/link/fuzz.test.ts
@@ -51,6 +51,11 @@
     maxLength: 6,
 }).map(parts => Buffer.concat(parts));
 
+/** Fails the test: no bytes may make the handler of a frame throw. */
+const handleFailure = (error: Error): never => {
+    throw error;
+};
+
 const openServer = async (onConnection: (socket: Socket) => void): Promise<Server> => {
     const server = createServer(onConnection);
     server.listen(0, host);
@@ -91,6 +96,7 @@
             computeDeadline: remainingMs => remainingMs,
             onVersionSeen: version => expect(version).toBeDefined(),
             serveTokens: () => ({ ticketMs: 0, incarnation: "", isReturned: false, grants: [] }),
+            onFrameFailed: handleFailure,
             createStreamReport: () => createReport(),
         });
         await fc.assert(
@@ -115,6 +121,7 @@
             address: { host, port: readPort(server) },
             encodeRequest: () => hopFields,
             onActivity: () => undefined,
+            onFrameFailed: handleFailure,
             onClosed: () => undefined,
         });
         const result = await new Promise<HopResult>(resolve => {
@@ -159,6 +166,7 @@
                         address: { host, port: readPort(server) },
                         encodeRequest: () => hopFields,
                         onActivity: () => undefined,
+                        onFrameFailed: handleFailure,
                         onClosed: resolve,
                     });
                     link.send(request, handler);
@@ -186,6 +194,7 @@
                 address: { host, port: readPort(server) },
                 encodeRequest: () => hopFields,
                 onActivity: () => undefined,
+                onFrameFailed: handleFailure,
                 onClosed: () => undefined,
             });
             link.send(request, { openStream: refuseStream, settle: resolve });
--- a/src/relay/link/linkClient.ts
+++ b/src/relay/link/linkClient.ts
@@ -6,7 +6,7 @@
 import { type TokenAnswer, type TokenQuery } from "../organisations/tokenMessages";
 import { type HopHandler, type HopRequest, type HopResult } from "../types";
 import { type Frame, frameKinds } from "./frames";
-import { FrameSocket } from "./frameSocket";
+import { type FrameFailureListener, FrameSocket } from "./frameSocket";
 import { parseAnswerHead } from "./parseMessages";
 import { parseTokenAnswer } from "./parseTokens";
 
@@ -20,6 +20,7 @@
     readonly encodeRequest: (hopRequest: HopRequest) => string;
     /** Called when the connection opens, and for each frame received. */
     readonly onActivity: () => void;
+    readonly onFrameFailed: FrameFailureListener;
     /** Called once when the connection is closed or could not be opened. */
     readonly onClosed: () => void;
 }
@@ -60,6 +61,7 @@
         });
         this.frames = new FrameSocket(this.socket, {
             onFrame: frame => this.receive(frame),
+            onFrameFailed: dependencies.onFrameFailed,
             onClose: () => {
                 clearTimeout(timer);
                 this.close();
--- a/src/relay/link/linkServer.ts
+++ b/src/relay/link/linkServer.ts
@@ -12,7 +12,7 @@
 import { type TokenAnswer, type TokenQuery } from "../organisations/tokenMessages";
 import { type HopHandler, type HopRequest, type HopResult, type LoadReport } from "../types";
 import { type Frame, frameKinds } from "./frames";
-import { FrameSocket } from "./frameSocket";
+import { type FrameFailureListener, FrameSocket } from "./frameSocket";
 import { parseRequestMessage, type RequestMessage } from "./parseMessages";
 import { parseTokenQuery } from "./parseTokens";
 
@@ -26,6 +26,7 @@
     readonly onVersionSeen: (host: string, version: number) => void;
     /** Answers a token query of the node at a host. */
     readonly serveTokens: (host: string, query: TokenQuery) => TokenAnswer;
+    readonly onFrameFailed: FrameFailureListener;
     /** Creates the load report that is sent with the head of a streamed answer. */
     readonly createStreamReport: (hopRequest: HopRequest) => LoadReport;
 }
@@ -58,6 +59,7 @@
         this.host = socket.remoteAddress ?? "";
         this.frames = new FrameSocket(socket, {
             onFrame: frame => this.receive(frame),
+            onFrameFailed: dependencies.onFrameFailed,
             onClose: () => {
                 const unfinishedRequests = [...this.servedRequests.values()];
                 this.servedRequests.clear();
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -142,6 +142,7 @@
                 serveTokens: (host, query) => this.organisations.tokens.serve(host, query),
                 computeDeadline: remainingMs => this.ingress.computeDeadline(remainingMs),
                 onVersionSeen: (host, version) => this.viewSync.observe(host, version),
+                onFrameFailed: error => this.recordFrameFailure(error),
                 createStreamReport: hopRequest => this.createReport(hopRequest, emptyHopStats),
             },
         });
@@ -218,6 +219,7 @@
                 this.viewSync.observe(host, version);
                 this.source.recordTableEvidence({ version, askedAt, ageMs: tableAgeMs });
             },
+            onFrameFailed: error => this.recordFrameFailure(error),
             onUnresponsive: (host, ids) => {
                 ids.forEach(id => this.directory.recordFailure(id));
                 this.log.write("node-silent", { host, upstreams: ids.join(",") });
@@ -292,6 +294,10 @@
         });
     }
 
+    private recordFrameFailure({ stack }: Error): void {
+        this.log.write("frame-failed", { detail: stack });
+    }
+
     private isLeaving(): boolean {
         return this.stopping.hasBegun || this.localUpstream.leaving.isToleranceOver();
     }
--- a/src/relay/peers/index.ts
+++ b/src/relay/peers/index.ts
@@ -23,6 +23,8 @@
     readonly readVersion: () => number;
     /** Called with the load report of the node at a host, and with the time before which that node can't have sent it. */
     readonly onReport: (host: string, report: LoadReport, askedAt: Instant) => void;
+    /** Called with the exception of a frame of another node that could not be handled. */
+    readonly onFrameFailed: (error: Error) => void;
     /** Called when a node no longer answers, with the ids of the target upstreams of the requests pending at it. */
     readonly onUnresponsive: (host: string, upstreamIds: readonly string[]) => void;
 }
@@ -139,6 +141,7 @@
             onActivity: () => {
                 peer.lastActivityMs = this.dependencies.clock.readMonotonicMs();
             },
+            onFrameFailed: this.dependencies.onFrameFailed,
             onClosed: () => peer.links.delete(link),
         });
         peer.links.add(link);
--- a/src/relay/peers/tokenQueries.test.ts
+++ b/src/relay/peers/tokenQueries.test.ts
@@ -20,6 +20,7 @@
         computeDeadline: remainingMs => remainingMs,
         onVersionSeen: () => undefined,
         serveTokens: () => answer,
+        onFrameFailed: () => undefined,
         createStreamReport: () => createReport(),
     });
     const front = createServer(socket => {
@@ -52,6 +53,7 @@
             readVersion: () => 1,
             onReport: () => undefined,
             onUnresponsive: () => undefined,
+            onFrameFailed: () => undefined,
         });
         peers.start();
         const sendQuery = (): Promise<TokenAnswer | undefined> =>
