Check an upstream again after a check that has failed

Cause: an exception left isChecking set, so that the guard never checked its upstream again. Change: the flag is reset in any case, and the exception is logged as upstream-check-failed. Before: the new test fails (1 check of 3); after: it passes.

--- a/src/relay/poisonGuard.test.ts
+++ b/src/relay/poisonGuard.test.ts
@@ -64,6 +64,26 @@
         expect(guard.isQuarantined(createHopRequest("/1"))).toBe(true);
     });
 
+    // Guards against a guard that never checks its upstream again because one check has failed in an unexpected way.
+    it("checks again after a check that has failed", async () => {
+        let isFailing = true;
+        const { guard, runFor, countChecks } = createGuard(() => {
+            if (isFailing) {
+                throw new Error("the check fails");
+            }
+            return false;
+        });
+        guard.recordConnectionLoss(createHopRequest("/1"), true);
+        await runFor(1_500);
+        isFailing = false;
+        for (let crash = 0; crash < 2; crash += 1) {
+            guard.recordConnectionLoss(createHopRequest("/1"), true);
+            await runFor(1_500);
+        }
+        expect(countChecks()).toBe(3);
+        expect(guard.isQuarantined(createHopRequest("/1"))).toBe(true);
+    });
+
     it("suspects no request whose connection is lost while the upstream goes on", async () => {
         const { guard, runFor } = createGuard(() => true);
         for (let loss = 0; loss < 5; loss += 1) {
--- a/src/relay/poisonGuard.ts
+++ b/src/relay/poisonGuard.ts
@@ -68,7 +68,9 @@
                 fingerprint: computeFingerprint(hopRequest),
                 atMs: this.clock.readMonotonicMs(),
             }];
-            void this.checkUpstream();
+            this.checkUpstream().catch((error: unknown) =>
+                this.dependencies.log.writeFailure("upstream-check-failed", error as Error)
+            );
             return;
         }
         this.recordSuspects();
@@ -80,16 +82,25 @@
             return;
         }
         this.isChecking = true;
+        try {
+            if (!await this.awaitListening()) {
+                this.recordSuspects();
+            }
+        }
+        finally {
+            this.isChecking = false;
+        }
+    }
+
+    /** Resolves to false once the upstream refuses connections, and to true if it goes on accepting them. */
+    private async awaitListening(): Promise<boolean> {
         await awaitDelay(this.clock, crashCheckDelayMs);
         let isListening = await this.dependencies.isUpstreamListening();
         while (isListening && this.hasInterruptedWithin(lastCrashCheckDelayMs)) {
             await awaitDelay(this.clock, lastCrashCheckDelayMs);
             isListening = await this.dependencies.isUpstreamListening();
         }
-        this.isChecking = false;
-        if (!isListening) {
-            this.recordSuspects();
-        }
+        return isListening;
     }
 
     private hasInterruptedWithin(durationMs: number): boolean {
