Start tasks that learn again after any failure, and let no node pass for current without learning

Cause: tracking, the table's proof and expiry were loops that nobody awaited. An exception ended them for good, a call that never ended held them for good; the node went on to say that it is current, so that its followers learned nothing either, and stayed ready. Two tests are changed, as strict: the ages of followers are read 3 s later, since they hear from a node until it knows that it isn't current, at most 4 s; watching nodes are found by calls that allow no old answer, since followers now make calls that do.

--- a/src/relay/fleet/fleetState.ts
+++ b/src/relay/fleet/fleetState.ts
@@ -2,11 +2,12 @@
 import { LRUCache } from "lru-cache";
 import { comparePositions } from "../../decisions/comparePositions";
 import { type RoutingTable, type UpstreamRecord } from "../../routing/types";
-import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+import { type Clock } from "../../tasks/_lib/clock";
 import { type Instant } from "../../types";
 import { type SourceListener } from "../source";
 import { ChangeWaiters } from "./changeWaiters";
 import { FleetView, type ViewCursor } from "./fleetView";
+import { MissingExpiry } from "./missingExpiry";
 import { PeerRanking, type RankingPlace } from "./peerRanking";
 import { type TableEvidence, TableProof } from "./tableProof";
 import {
@@ -21,13 +22,13 @@
 /** The platform's name as a place that changes are read from. */
 export const platformPlace = "platform";
 
-/** Interval of the check for upstreams whose time to renew their entries is over, in milliseconds. */
-const expiryCheckMs = 200;
 /**
  * Longest wait of a query that comes while the store can't be reached, in milliseconds. The asking node has to look for
  * changes elsewhere.
  */
 const lostWaitMs = 250;
+/** Longest time between two successful reads of a node that watches the store, in milliseconds. */
+const maxReadAgeMs = 4_000;
 /** Number of nodes whose cursors are kept; two are asked in turn. */
 const maxCursors = 4;
 const noCursor: ViewCursor = { viewId: "", serial: 0 };
@@ -51,23 +52,29 @@
     private isOutageKnown = false;
     private isCurrent = false;
     private place = "";
-    /** Monotonic time of the latest query whose answer was current, in milliseconds. */
+    /** Monotonic time of the latest answer that was current, in milliseconds. */
     private learnedAtMs = -Infinity;
-    private isExpiryPending = false;
+    /** Serial of the view that was published last. */
+    private publishedSerial = -1;
     /** Cursors in the views of the nodes that were asked lately, by host. */
     private readonly cursors = new LRUCache<string, ViewCursor>({ max: maxCursors });
     private readonly waiters: ChangeWaiters;
+    private readonly expiry: MissingExpiry;
 
     constructor(private readonly options: FleetStateOptions, private readonly listener: SourceListener) {
         this.proof = new TableProof(options.clock);
         this.view = new FleetView(options.viewId, options.clock.readMonotonicMs);
         this.ranking = new PeerRanking(options, options.clock.readMonotonicMs);
         this.waiters = new ChangeWaiters(options.clock);
+        this.expiry = new MissingExpiry(this.view, options.clock, {
+            onExpired: () => this.publishUpstreams(platformPlace),
+            onFailed: error => listener.onLearningFailed("expiry", error),
+        });
     }
 
-    /** Whether the node reads the store itself and its last query succeeded. */
+    /** Whether the node reads the store itself, its last query succeeded and was not long ago. */
     get isReadingStore(): boolean {
-        return this.isCurrent;
+        return this.isCurrent && this.learnedAgeMs <= maxReadAgeMs;
     }
 
     /** Sets whether the node reads the store; waiting queries are answered when that changes. */
@@ -78,7 +85,7 @@
         }
     }
 
-    /** Time since the query whose answer was the latest current one, in milliseconds; Infinity before the first. */
+    /** Time since the latest answer that was current, in milliseconds; Infinity before the first. */
     get learnedAgeMs(): number {
         return this.options.clock.readMonotonicMs() - this.learnedAtMs;
     }
@@ -104,7 +111,7 @@
             viewId: this.options.viewId,
             serial: this.view.serial,
             batch: this.view.listChanges(query),
-            isCurrent: this.isCurrent,
+            isCurrent: this.isReadingStore,
             renewalLeftMs: this.view.renewalLeftMs,
             ...this.describeTable(query.version),
             tableAgeMs: this.readFiniteAge(this.proof.readNow().monotonicMs - queriedAt.monotonicMs),
@@ -126,15 +133,16 @@
         if (reading.kind !== "table") {
             return false;
         }
-        this.applyTable(reading.table, platformPlace);
+        const isApplied = this.tryApplyTable(reading.table, platformPlace);
         this.recordEvidence({ version: reading.table.version, askedAt, ageMs: 0 });
-        return true;
+        return isApplied;
     }
 
-    /** Applies what another node has answered about its table. */
-    applyTableAnswer({ table, version, tableAgeMs }: TableAnswer, host: string, askedAt: Instant): void {
-        this.applyTable(table, host);
+    /** Applies what another node has answered about its table; returns false if the table could not be applied. */
+    applyTableAnswer({ table, version, tableAgeMs }: TableAnswer, host: string, askedAt: Instant): boolean {
+        const isApplied = this.tryApplyTable(table, host);
         this.recordEvidence({ version, askedAt, ageMs: tableAgeMs ?? Infinity });
+        return isApplied;
     }
 
     recordEvidence(evidence: TableEvidence): void {
@@ -149,27 +157,29 @@
             return false;
         }
         reading.unreadable.forEach(({ key, detail }) => this.listener.onUnreadable(key, detail));
-        this.applyTable(reading.table, platformPlace);
+        const isTableApplied = this.tryApplyTable(reading.table, platformPlace);
         if (reading.batch.isFull && reading.table) {
             this.recordEvidence({ version: reading.table.version, askedAt, ageMs: 0 });
         }
         const result = this.applyBatch(reading.batch, platformPlace);
-        this.mustReadAll = result === "gap" || result === "outdated" && reading.batch.isFull;
-        this.recordLearning(result === "applied", askedAt);
-        return result === "applied";
+        // A table that could not be applied is read again; until then the node is not current.
+        this.mustReadAll = !isTableApplied || result === "gap" || result === "outdated" && reading.batch.isFull;
+        const isApplied = isTableApplied && result === "applied";
+        this.recordLearning(isApplied);
+        return isApplied;
     }
 
     /** Applies the answer of another node to a query of `askedAt`; returns false if its view is older than this node's. */
     applyChanges(changes: FleetChanges, host: string, askedAt: Instant): boolean {
         const { viewId, serial, batch, table, version = 0, tableAgeMs } = changes;
-        this.applyTableAnswer({ table, version, tableAgeMs }, host, askedAt);
+        const isTableApplied = this.applyTableAnswer({ table, version, tableAgeMs }, host, askedAt);
         if (changes.isCurrent) {
             this.isOutageKnown = false;
             this.view.adoptRenewal(changes.renewalLeftMs ?? 0);
         }
         if (!batch) {
-            this.recordLearning(changes.isCurrent, askedAt);
-            return true;
+            this.recordLearning(changes.isCurrent && isTableApplied);
+            return isTableApplied;
         }
         const { position: previous } = this.view;
         const result = this.applyBatch(batch, host);
@@ -180,10 +190,10 @@
             return false;
         }
         this.cursors.set(host, { viewId, serial });
-        this.recordLearning(changes.isCurrent, askedAt);
+        this.recordLearning(changes.isCurrent && isTableApplied);
         // A watch can continue from a newer position; from the same one it would fail again.
         this.mustReadAll &&= previous !== undefined && comparePositions(batch.position, previous) <= 0;
-        return true;
+        return isTableApplied;
     }
 
     /** Takes over the ranking from the records of another node while the node knows no other. */
@@ -207,57 +217,52 @@
     }
 
     private applyBatch(batch: FleetBatch, from: string): ReturnType<FleetView["apply"]> {
-        const { position: previous, serial } = this.view;
+        const { position: previous } = this.view;
         const result = this.view.apply(batch);
         const { position } = this.view;
         if (position && previous && position.era !== previous.era) {
             this.listener.onEra(position.era, position.revision);
         }
-        if (!previous && position || this.view.serial !== serial) {
+        if (position && this.publishedSerial !== this.view.serial) {
             this.publishUpstreams(from);
         }
-        if (this.view.hasMissing && !this.isExpiryPending) {
-            void this.expireMissing();
-        }
+        this.expiry.begin();
         return result;
     }
 
-    /** Removes upstreams when their time to renew their entries is over. */
-    private async expireMissing(): Promise<void> {
-        this.isExpiryPending = true;
-        while (this.view.hasMissing) {
-            await awaitDelay(this.options.clock, expiryCheckMs);
-            if (this.view.expireMissing()) {
-                this.publishUpstreams(platformPlace);
-            }
-        }
-        this.isExpiryPending = false;
+    private recordLearning(isCurrent: boolean): void {
+        this.learnedAtMs = isCurrent ? this.options.clock.readMonotonicMs() : this.learnedAtMs;
     }
 
-    private recordLearning(isCurrent: boolean, { monotonicMs }: Instant): void {
-        if (isCurrent) {
-            this.learnedAtMs = Math.max(this.learnedAtMs, monotonicMs);
+    /** Applies a table unless it is old; returns false if that fails, so that the upstreams that came with it still hold. */
+    private tryApplyTable(table: RoutingTable | undefined, from: string): boolean {
+        if (!table || table.version <= this.readVersion()) {
+            return true;
         }
-    }
-
-    private applyTable(table: RoutingTable | undefined, from: string): void {
-        if (table && table.version > this.readVersion()) {
+        try {
             this.listener.onRouting(table, from);
-            this.waiters.release();
         }
+        catch (error) {
+            this.listener.onLearningFailed("routing", error as Error);
+            return false;
+        }
+        this.waiters.release();
+        return true;
     }
 
     private publishUpstreams(place: string): void {
+        const { serial, position } = this.view;
         const records = this.view.list();
         this.ranking.update(records);
-        this.listener.onUpstreams(records, { place, position: this.view.position });
         this.waiters.release();
+        this.listener.onUpstreams(records, { place, position });
+        this.publishedSerial = serial;
     }
 
     /** Whether a query can be answered at once. */
     private hasChanges({ viewId, serial, version }: ChangesQuery): boolean {
         const isViewKnown = viewId === this.options.viewId && serial === this.view.serial;
-        return this.isCurrent && (!isViewKnown || this.readVersion() > version);
+        return this.isReadingStore && (!isViewKnown || this.readVersion() > version);
     }
 
     /** Returns the age of the proof less `heldMs`, in milliseconds; undefined without a proof, since JSON has no Infinity. */
--- a/src/relay/fleet/fleetTracker.test.ts
+++ b/src/relay/fleet/fleetTracker.test.ts
@@ -27,11 +27,13 @@
     return store.callCount - before;
 };
 
-/** Finds the hosts of a failure domain that the store has answered to since the last call. */
+/** Finds the hosts of a failure domain that watch the store: those that call it without allowing old answers. */
 const findWatchers = async (failureDomain: string): Promise<readonly TrackerNode[]> => {
     const hosts = new Set<string>();
-    fleet.store.isTurnedAway = host => {
-        hosts.add(host);
+    fleet.store.isTurnedAway = (host, isStale) => {
+        if (!isStale) {
+            hosts.add(host);
+        }
         return false;
     };
     await fleet.runFor(4_000);
--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -1,22 +1,18 @@
 /** Keeps a node's view of the fleet current: two nodes of each failure domain watch the store, the others ask them. */
 import { type UpstreamRecord } from "../../routing/types";
-import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+import { awaitDelay } from "../../tasks/_lib/clock";
 import { type Instant } from "../../types";
 import { type FleetSource, type SourceListener } from "../source";
 import { DirectReads } from "./directReads";
 import { FleetState, platformPlace } from "./fleetState";
+import { LearningLoops } from "./learningLoops";
+import { PeerLookup, type PeerLookupOptions } from "./peerLookup";
 import { type RankingPlace } from "./peerRanking";
+import { StoreCheck } from "./storeCheck";
 import { StoreWatch } from "./storeWatch";
 import { type TableEvidence } from "./tableProof";
 import { TableProver } from "./tableProver";
-import {
-    type ChangesClient,
-    type ChangesQuery,
-    type FleetChanges,
-    type StoreReader,
-    type StoreReading,
-    type TableAnswer,
-} from "./types";
+import { type ChangesQuery, type FleetChanges, type StoreReading, type TableAnswer } from "./types";
 import { WatcherChoice } from "./watcherChoice";
 
 /**
@@ -39,30 +35,20 @@
 /** Bounds of the exponential delay before the next query after a failure, in milliseconds, before jitter. */
 const initialRetryDelayMs = 100;
 const maxRetryDelayMs = 1_000;
-/** Longest time that a starting node looks for other nodes to ask, and the mean pause, in milliseconds. */
-const maxLookupMs = 5_000;
-const lookupPauseMs = 500;
-/** Number of lookups that find upstreams, but no other node of the failure domain, before the node gives up. */
-const maxVainLookups = 3;
-
 /** Place of a node, its means to read changes, and its sources of time and chance. */
-export interface FleetTrackerOptions extends RankingPlace {
+export interface FleetTrackerOptions extends RankingPlace, PeerLookupOptions {
     /** Id of this node's view, unique over nodes and restarts. */
     readonly viewId: string;
-    /** Whether the whole fleet starts for the first time, so that no request is waiting yet. */
-    readonly isFirstStart: boolean;
-    readonly reader: StoreReader;
-    readonly client: ChangesClient;
-    readonly clock: Clock;
-    /** Returns a random number in [0, 1). */
-    readonly sampleRandom: () => number;
 }
 
 /** Reads the store, or asks nodes that do, and answers the queries of other nodes. */
 export class FleetTracker implements FleetSource {
     private state: FleetState | undefined;
     private prover: TableProver | undefined;
+    private loops: LearningLoops | undefined;
     private isStopped = false;
+    /** Whether the store is further than the nodes that were asked. */
+    private isBehind = false;
     private failureCount = 0;
     private watchesUntilMs = -Infinity;
     private outdatedAnswers = 0;
@@ -77,21 +63,44 @@
     }
 
     start(listener: SourceListener): void {
-        this.state = new FleetState(this.options, listener);
-        this.prover = new TableProver(this.options, this.state, listener);
-        const reportFailure = (task: string) => (error: Error): void => listener.onLearningFailed(task, error);
-        this.runTracking(this.state).catch(reportFailure("fleet"));
-        this.prover.run().catch(reportFailure("table-proof"));
+        const state = new FleetState(this.options, listener);
+        const lookup = new PeerLookup(
+            this.options,
+            state,
+            (reading, askedAt) => this.applyReading(state, reading, askedAt),
+        );
+        const prover = new TableProver(this.options, state, listener);
+        const storeCheck = this.createStoreCheck(state);
+        this.state = state;
+        this.prover = prover;
+        this.loops = new LearningLoops(
+            [
+                { name: "fleet", runTurn: () => this.runTurn(state, lookup) },
+                { name: "table-proof", runTurn: () => prover.run() },
+                { name: "store-check", runTurn: () => storeCheck.run() },
+            ],
+            this.options.clock,
+            (task, error) => {
+                state.updateReadingStore(false);
+                listener.onLearningFailed(task, error);
+            },
+        );
+        this.loops.start();
     }
 
     stop(): void {
         this.isStopped = true;
+        this.loops?.stop();
         this.prover?.stop();
         this.options.reader.close();
         this.options.client.close();
         this.state?.releaseWaiters();
     }
 
+    isFailing(): boolean {
+        return this.loops?.isFailing ?? false;
+    }
+
     async awaitChanges(query: ChangesQuery): Promise<FleetChanges> {
         const { viewId } = this.options;
         if (query.waitMs > 0) {
@@ -121,49 +130,14 @@
         this.state?.receivePeers(records);
     }
 
-    private async runTracking(state: FleetState): Promise<void> {
-        await this.findPeers(state);
-        while (!this.isStopped) {
-            const watchers = this.listWatchers(state);
-            await (watchers.length === 0 ? this.watchStore(state) : this.queryWatchers(state, watchers));
-        }
-    }
-
-    /**
-     * Finds other nodes in a stale copy of the store, which is cheap to read, and takes over the view of one of them.
-     * The copy itself isn't used, since it may be older than what the other nodes apply. A node that restarts reads the
-     * store itself and uses that at once, since requests are waiting for it; it asks other nodes afterwards.
-     */
-    private async findPeers(state: FleetState): Promise<void> {
-        const startedAtMs = this.readNowMs();
-        const { reader, clock, sampleRandom, isFirstStart } = this.options;
-        let vainLookups = 0;
-        while (vainLookups < maxVainLookups && this.readNowMs() - startedAtMs < maxLookupMs && !this.isStopped) {
-            const askedAt = state.proof.readNow();
-            const reading = await reader.readAll({ allowStale: isFirstStart });
-            if (reading.kind === "batch") {
-                state.ranking.update(reading.batch.records);
-                vainLookups += reading.batch.records.length > 0 ? 1 : 0;
-            }
-            if (!isFirstStart && this.applyReading(state, reading, askedAt)) {
-                return;
-            }
-            if (await this.takeOverView(state) || state.ranking.hasPeers) {
-                return;
-            }
-            await awaitDelay(clock, lookupPauseMs * (0.5 + sampleRandom()));
-        }
-    }
-
-    private async takeOverView(state: FleetState): Promise<boolean> {
-        for (const host of state.ranking.listPeers()) {
-            const askedAt = state.proof.readNow();
-            const changes = await this.options.client.queryChanges(host, state.createQuery(host, 0));
-            if (changes?.batch && state.applyChanges(changes, host, askedAt)) {
-                return true;
-            }
+    /** Learns once: looks for other nodes after the start, then watches the store or asks the nodes that do. */
+    private async runTurn(state: FleetState, lookup: PeerLookup): Promise<void> {
+        if (!lookup.isOver) {
+            await lookup.run();
+            return;
         }
-        return false;
+        const watchers = this.listWatchers(state);
+        await (watchers.length === 0 ? this.watchStore(state) : this.queryWatchers(state, watchers));
     }
 
     /** Lists the nodes to ask; none if this node has to watch the store itself. */
@@ -182,6 +156,12 @@
     /** Asks one of the nodes that watch the store, and reads the store itself when all of them have lost it. */
     private async queryWatchers(state: FleetState, watchers: readonly string[]): Promise<void> {
         state.updateReadingStore(false);
+        if (this.isBehind) {
+            this.isBehind = false;
+            watchers.forEach(host => this.recordPeerFailure(state, host, "is behind the platform"));
+            await this.readChanges(state);
+            return;
+        }
         const askedAt = state.proof.readNow();
         const { host, waitMs } = this.watcherChoice.choose(watchers);
         const changes = await this.options.client.queryChanges(host, state.createQuery(host, waitMs));
@@ -213,6 +193,17 @@
         await awaitDelay(this.options.clock, isApplied ? peerPauseMs : outdatedPauseMs);
     }
 
+    /** Only a node that asks others needs the check; one that watches the store knows when that has failed. */
+    private createStoreCheck(state: FleetState): StoreCheck {
+        return new StoreCheck({
+            ...this.options,
+            readOwnPosition: () => state.isReadingStore ? undefined : state.view.position,
+            onBehind: () => {
+                this.isBehind = true;
+            },
+        });
+    }
+
     private recordPeerFailure(state: FleetState, host: string, reason: string): void {
         this.outdatedAnswers = 0;
         state.ranking.recordFailure(host);
--- a/src/relay/fleet/learningFaults.test.ts
+++ b/src/relay/fleet/learningFaults.test.ts
@@ -59,6 +59,8 @@
         await fleet.runFor(maxSilenceMs);
         const answers = await Promise.all(fleet.nodes.map((unused, index) => isCurrent(index)));
         expect(answers).not.toContain(true);
+        // Followers have heard from these nodes until those knew that they aren't current.
+        await fleet.runFor(3_000);
         const ages = fleet.nodes.map(({ tracker }) => tracker.readLearnedAgeMs());
         expect(Math.min(...ages)).toBeGreaterThan(2_000);
     });
@@ -78,6 +80,27 @@
         expect(listOutdatedHosts(2).filter(host => !readers.has(host))).toEqual([]);
     });
 
+    // Guards against a list of upstreams that is known but not in force, since passing it on has failed once.
+    it("passes the list of upstreams on again when that has failed", async () => {
+        fleet.findFault = (host, step) => step === "onUpstreams" ? "throw" : undefined;
+        fleet.store.write(fleet.createRecord(1, { state: "draining", sequence: 5 }));
+        await fleet.runFor(2_000);
+        fleet.findFault = () => undefined;
+        await fleet.runFor(adoptionMs);
+        fleet.nodes.forEach(({ records }) => {
+            expect(records.find(({ id }) => id === "i-1")?.state).toBe("draining");
+        });
+    });
+
+    // Guards against a routing table that can't be applied and keeps the upstreams that come with it from being known.
+    it("applies the upstreams that come with a table that it can't apply", async () => {
+        fleet.findFault = (host, step) => step === "onRouting" ? "throw" : undefined;
+        fleet.store.publishVersion(2);
+        fleet.store.remove("i-2");
+        await fleet.runFor(3_000);
+        fleet.nodes.forEach(({ records }) => expect(records.map(({ id }) => id)).not.toContain("i-2"));
+    });
+
     it("reports each failure with the name of the task", async () => {
         fleet.findFault = (host, step) => step === "watch" || step === "readTable" ? "throw" : undefined;
         await fleet.runFor(3_000);
@@ -86,6 +109,30 @@
     });
 });
 
+describe("nodes that ask others which have stopped learning", () => {
+    // Guards against followers of nodes of another build that say that they are current although they have stopped.
+    it("learn changes from the store in time", async () => {
+        const watching = new Set<string>();
+        fleet.store.isTurnedAway = (host, isStale) => {
+            watching.add(isStale ? "" : host);
+            return false;
+        };
+        await fleet.runFor(3_000);
+        const stopped = fleet.nodes.filter(({ host }) => watching.has(host));
+        expect(stopped.length).toBeLessThan(nodeCount);
+        const query = { viewId: "", serial: 0, version: 0, waitMs: 0 };
+        for (const { tracker } of stopped) {
+            const changes = await tracker.awaitChanges(query);
+            tracker.awaitChanges = () => Promise.resolve({ ...changes, isCurrent: true });
+        }
+        fleet.store.publishVersion(2);
+        fleet.store.remove("i-2");
+        await fleet.runFor(adoptionMs);
+        expect(listOutdatedHosts(2)).toEqual([]);
+        fleet.nodes.forEach(({ records }) => expect(records.map(({ id }) => id)).not.toContain("i-2"));
+    });
+});
+
 describe("nodes whose learning fails in any order", () => {
     const faultArbitrary = fc.record({
         node: fc.nat(nodeCount - 1),
--- a/src/relay/fleet/storeWatch.ts
+++ b/src/relay/fleet/storeWatch.ts
@@ -18,10 +18,11 @@
         const abort = new AbortController();
         const reading = this.reader.watch(position, waitMs, abort.signal);
         let isEnded = false;
-        void reading.then(() => {
+        const end = (): void => {
             isEnded = true;
-        });
-        void this.pingUntil(() => isEnded, abort);
+        };
+        reading.then(end, end);
+        this.pingUntil(() => isEnded, abort).catch((error: unknown) => abort.abort(error));
         return reading;
     }
 
--- a/src/relay/fleet/tableProver.ts
+++ b/src/relay/fleet/tableProver.ts
@@ -10,6 +10,8 @@
 const watcherRenewalMs = 800;
 /** Age at which any other node stops waiting for evidence from others, and renews its proof, in milliseconds. */
 const ownRenewalMs = 2_400;
+/** Time after which a read of the store that has not ended is given up, in milliseconds. */
+const maxReadMs = 4_000;
 
 /** Means to renew the proof. */
 export interface TableProverOptions {
@@ -26,7 +28,8 @@
  */
 export class TableProver {
     private isStopped = false;
-    private isReadingStore = false;
+    /** Monotonic time at which the read of the store under way began, in milliseconds; undefined if there is none. */
+    private readingSinceMs: number | undefined;
     private hasStoreFailed = false;
 
     constructor(
@@ -39,21 +42,25 @@
         this.isStopped = true;
     }
 
+    /** Waits for the next check of the proof's age, and renews the proof if it is due. */
     async run(): Promise<void> {
         const { clock, sampleRandom } = this.options;
-        while (!this.isStopped) {
-            await awaitDelay(clock, checkIntervalMs * (0.75 + sampleRandom() / 2));
-            if (!this.isStopped && this.isRenewalDue()) {
-                await this.updateProof();
-            }
+        await awaitDelay(clock, checkIntervalMs * (0.75 + sampleRandom() / 2));
+        if (!this.isStopped && this.isRenewalDue()) {
+            await this.updateProof();
         }
     }
 
     /** Reads the store, and asks another node while the store doesn't answer. */
     private async updateProof(): Promise<void> {
-        const isStoreSilent = this.isReadingStore || this.hasStoreFailed;
-        if (!this.isReadingStore) {
-            void this.readStore();
+        const readingMs = this.options.clock.readMonotonicMs() - (this.readingSinceMs ?? Infinity);
+        const isReadingStore = this.readingSinceMs !== undefined && readingMs < maxReadMs;
+        const isStoreSilent = isReadingStore || this.hasStoreFailed;
+        if (!isReadingStore) {
+            this.readStore().catch((error: unknown) => {
+                this.hasStoreFailed = true;
+                this.listener.onLearningFailed("table-proof", error as Error);
+            });
         }
         if (isStoreSilent) {
             await this.queryAnyNode();
@@ -66,12 +73,16 @@
     }
 
     private async readStore(): Promise<void> {
-        this.isReadingStore = true;
         const askedAt = this.state.proof.readNow();
-        const reading = await this.options.reader.readTable();
-        this.isReadingStore = false;
-        if (!this.isStopped) {
-            this.hasStoreFailed = !this.state.applyTableReading(reading, askedAt);
+        this.readingSinceMs = askedAt.monotonicMs;
+        try {
+            const reading = await this.options.reader.readTable();
+            if (!this.isStopped) {
+                this.hasStoreFailed = !this.state.applyTableReading(reading, askedAt);
+            }
+        }
+        finally {
+            this.readingSinceMs = undefined;
         }
     }
 
--- a/src/relay/fleet/types.ts
+++ b/src/relay/fleet/types.ts
@@ -50,6 +50,8 @@
     watch(position: StorePosition, waitMs: number, signal?: AbortSignal): Promise<StoreReading>;
     /** Checks whether the store answers; cheap for the store. */
     ping(): Promise<boolean>;
+    /** Reads a position that the store has reached, though perhaps seconds ago; undefined if it doesn't answer. Cheap for the store. */
+    readPosition(): Promise<StorePosition | undefined>;
     /** Reads the routing table that was the newest at the time of the call or later. */
     readTable(): Promise<TableReading>;
     close(): void;
--- a/src/relay/log/index.ts
+++ b/src/relay/log/index.ts
@@ -28,6 +28,11 @@
         this.stateLines.write(event, fields);
     }
 
+    /** Writes a line about an exception that nobody else handles, or counts it as omitted. */
+    writeFailure(event: string, { stack, message }: Error, fields: LogFields = {}): void {
+        this.stateLines.write(event, { ...fields, detail: stack ?? message });
+    }
+
     /** Writes a line regardless of the rate limit; for rare events of the node itself. */
     writeAlways(event: string, fields: LogFields): void {
         this.logger.info(fields, event);
--- a/src/relay/node.ts
+++ b/src/relay/node.ts
@@ -9,13 +9,14 @@
 import { TimerWheel } from "../tasks/_lib/timerWheel";
 import { AnswerTimes } from "./_lib/answerTimes";
 import { createLoadReport } from "./_lib/createLoadReport";
-import { deriveControlAddress, deriveLinkAddress } from "./_lib/deriveAddresses";
+import { deriveControlAddress } from "./_lib/deriveAddresses";
 import { listControlAddresses } from "./_lib/listControlAddresses";
 import { RetryBudgets } from "./_lib/retryBudgets";
 import { ActiveRequests } from "./activeRequests";
 import { createAdminHandler } from "./adminHandler";
 import { awaitDrained } from "./awaitDrained";
 import { createControlHandler } from "./control";
+import { createPeers } from "./createPeers";
 import { Entry, type SendHop } from "./entry";
 import { Ingress } from "./ingress";
 import { emptyHopStats, type HopStats } from "./ingress/servedHop";
@@ -27,7 +28,7 @@
 import { RelayMetrics } from "./metrics";
 import { Organisations } from "./organisations";
 import { PauseGuard } from "./pauseGuard";
-import { Peers } from "./peers";
+import { type Peers } from "./peers";
 import { PoisonGuard } from "./poisonGuard";
 import { RelayListeners } from "./relayListeners";
 import { ActiveRouting } from "./routing";
@@ -115,7 +116,8 @@
             isUpstreamListening: () => isListening(this.settings.upstream),
         });
         this.viewSync = this.createViewSync();
-        this.peers = this.createPeers();
+        const { wheel, routing, viewSync, directory, log } = this;
+        this.peers = createPeers(settings, { clock, wheel, routing, viewSync, source, directory, log });
         this.ingress = this.createIngress(headerNames);
         this.entry = this.createEntry(headerNames, sampleRandom);
     }
@@ -128,7 +130,7 @@
                 this.ingress.handle(new HttpCallRequest(request, response), request.socket.remoteAddress ?? ""),
             onAdmin: createAdminHandler({
                 readinessPath: this.settings.readinessPath,
-                isReady: () => !this.stopping.hasBegun && this.routing.table !== undefined,
+                isReady: () => this.isReady(),
                 registry: this.metrics.registry,
             }),
             onControl: createControlHandler({
@@ -142,7 +144,7 @@
                 serveTokens: (host, query) => this.organisations.tokens.serve(host, query),
                 computeDeadline: remainingMs => this.ingress.computeDeadline(remainingMs),
                 onVersionSeen: (host, version) => this.viewSync.observe(host, version),
-                onFrameFailed: error => this.recordFrameFailure(error),
+                onFrameFailed: error => this.log.writeFailure("frame-failed", error),
                 createStreamReport: hopRequest => this.createReport(hopRequest, emptyHopStats),
             },
         });
@@ -207,26 +209,6 @@
         });
     }
 
-    private createPeers(): Peers {
-        const { peers } = this.settings;
-        return new Peers({
-            clock: this.clock,
-            wheel: this.wheel,
-            httpPort: peers.port,
-            linkPort: deriveLinkAddress(peers).port,
-            readVersion: () => this.routing.version,
-            onReport: (host, { version, tableAgeMs }, askedAt) => {
-                this.viewSync.observe(host, version);
-                this.source.recordTableEvidence({ version, askedAt, ageMs: tableAgeMs });
-            },
-            onFrameFailed: error => this.recordFrameFailure(error),
-            onUnresponsive: (host, ids) => {
-                ids.forEach(id => this.directory.recordFailure(id));
-                this.log.write("node-silent", { host, upstreams: ids.join(",") });
-            },
-        });
-    }
-
     private createIngress(headerNames: HeaderNames): Ingress {
         return new Ingress({
             headerNames,
@@ -294,8 +276,9 @@
         });
     }
 
-    private recordFrameFailure({ stack }: Error): void {
-        this.log.write("frame-failed", { detail: stack });
+    /** Whether callers may send requests. A node that can't reach the platform serves what it knows and is ready. */
+    private isReady(): boolean {
+        return !this.stopping.hasBegun && this.routing.table !== undefined && !this.source.isFailing();
     }
 
     private isLeaving(): boolean {
--- a/src/relay/source.ts
+++ b/src/relay/source.ts
@@ -33,6 +33,8 @@
     describeTable(version: number): TableAnswer;
     /** Returns the longest time for which the routing table may have been outdated, in ms; Infinity if unknown. */
     readTableAgeMs(): number;
+    /** Whether a task that learns changes fails again and again, so that the node should get no requests. */
+    isFailing(): boolean;
     /** Returns the time since the node last heard from the store or from a node that watches it, in ms; Infinity if never. */
     readLearnedAgeMs(): number;
     /** Takes in what another node has said of the newest routing table. */
--- a/src/relay/sourceListener.ts
+++ b/src/relay/sourceListener.ts
@@ -26,7 +26,7 @@
     onEra: (era, revision) => log.writeAlways("platform-restored", { era, revision }),
     onLearningFailed: (task, error) => {
         metrics.countLearningFailure(task);
-        log.writeState("learning-failed", { task, detail: error.stack });
+        log.writeFailure("learning-failed", error, { task });
     },
     readTable: () => routing.table,
 });
--- a/src/testing/startRelayFleet.ts
+++ b/src/testing/startRelayFleet.ts
@@ -58,6 +58,10 @@
         return this.tableAgeMs;
     }
 
+    isFailing(): boolean {
+        return false;
+    }
+
     readLearnedAgeMs(): number {
         return 0;
     }
--- a/src/testing/virtualStore.ts
+++ b/src/testing/virtualStore.ts
@@ -28,8 +28,8 @@
     /** Number of calls that were not allowed to be stale. */
     callCount = 0;
     staleCallCount = 0;
-    /** Whether the store turns a reader away. */
-    isTurnedAway: (reader: string) => boolean = () => false;
+    /** Whether the store turns a reader away; `isStale` tells whether the call may be answered from an old copy. */
+    isTurnedAway: (reader: string, isStale: boolean) => boolean = () => false;
     /** Whether a reader is cut off from the store, so that neither calls nor answers arrive. */
     isCut: (reader: string) => boolean = () => false;
     /** Organisations of the routing table; undefined if requests carry no keys. */
@@ -79,7 +79,7 @@
                 if (!await this.awaitAnswer(name)) {
                     return createFailure();
                 }
-                return this.isTurnedAway(name) ? createFailure() : this.createReading(this.createFullBatch());
+                return this.isTurnedAway(name, false) ? createFailure() : this.createReading(this.createFullBatch());
             },
             watch: async (position, waitMs, signal) => {
                 this.countCall(false);
@@ -90,11 +90,15 @@
             },
             ping: async () => {
                 this.countCall(true);
-                return await this.awaitAnswer(name, pingTimeoutMs) && !this.isTurnedAway(name);
+                return await this.awaitAnswer(name, pingTimeoutMs) && !this.isTurnedAway(name, true);
+            },
+            readPosition: async () => {
+                this.countCall(true);
+                return await this.awaitAnswer(name) && !this.isTurnedAway(name, true) ? this.position : undefined;
             },
             readTable: async () => {
                 this.countCall(false);
-                return !await this.awaitAnswer(name) || this.isTurnedAway(name)
+                return !await this.awaitAnswer(name) || this.isTurnedAway(name, false)
                     ? { kind: "failed", detail: "turned away" }
                     : { kind: "table", table: this.createTable() };
             },
@@ -118,7 +122,7 @@
         for (;;) {
             isLost ||= this.isCut(name);
             const isOverdue = isLost && this.clock.readMonotonicMs() >= untilMs + answerTimeoutMs;
-            if (signal?.aborted || isOverdue || !isLost && this.isTurnedAway(name)) {
+            if (signal?.aborted || isOverdue || !isLost && this.isTurnedAway(name, false)) {
                 return createFailure();
             }
             if (isLost) {
--- a/src/testing/virtualTrackers.ts
+++ b/src/testing/virtualTrackers.ts
@@ -18,6 +18,7 @@
     "readAll",
     "watch",
     "ping",
+    "readPosition",
     "readTable",
     "queryChanges",
     "queryTable",
@@ -150,6 +151,7 @@
             readAll: options => this.callUnlessFaulty(host, "readAll", () => reader.readAll(options)),
             watch: (...args) => this.callUnlessFaulty(host, "watch", () => reader.watch(...args)),
             ping: () => this.callUnlessFaulty(host, "ping", () => reader.ping()),
+            readPosition: () => this.callUnlessFaulty(host, "readPosition", () => reader.readPosition()),
             readTable: () => this.callUnlessFaulty(host, "readTable", () => reader.readTable()),
             close: () => reader.close(),
         };
