Let the project's own node go on after a value that it can't handle

The watches of the policy and of the instance list, the read after a pause and the comparison of policies were promises that nobody awaited, in a process without a handler: an exception ended it. One odd item (a port out of range, a host that is no address) made the whole instance list unreadable, or a URL invalid; a revision that is no number made a loop without a pause; an exception of one subscriber kept the others from the message; answers of other nodes were cast to their types. Change: supervised loops, reported as learning-failed in the audit trail; items of the list are checked one by one; revisions are whole numbers; the bus delivers to all handlers; versions and logs of other nodes are checked, answers end at 16 MiB.

--- a/src/commands/_lib/queryNodes.ts
+++ b/src/commands/_lib/queryNodes.ts
@@ -38,7 +38,8 @@
     const answer = await request(`http://${platformAddress}/v1/values/${encodeURIComponent(instancesKey)}`, {
         headersTimeout: queryTimeoutMs,
     });
-    return parseInstances(await answer.body.text()) ?? [];
+    const parsed = parseInstances(await answer.body.text());
+    return parsed.ok ? parsed.value.instances : [];
 };
 
 const queryNode = async <Value>(
--- a/src/tasks/messages.ts
+++ b/src/tasks/messages.ts
@@ -51,25 +51,37 @@
         this.handlers.set(kind, [...subscribed, handler as MessageHandler]);
     }
 
-    /** Delivers a message before it returns, unless a delivery is in progress. */
+    /**
+     * Delivers a message before it returns, unless a delivery is in progress. An exception of a handler keeps no other
+     * handler from getting the message; the first one is thrown in the end.
+     */
     publish(message: Message): void {
         this.pending.push(message);
         if (this.isDelivering) {
             return;
         }
         this.isDelivering = true;
-        try {
-            this.dispatchPending();
-        }
-        finally {
-            this.isDelivering = false;
+        const [error] = this.dispatchPending();
+        this.isDelivering = false;
+        if (error !== undefined) {
+            throw error;
         }
     }
 
-    private dispatchPending(): void {
+    /** Delivers all pending messages; returns what handlers have thrown. */
+    private dispatchPending(): readonly unknown[] {
+        const errors: unknown[] = [];
         for (let next = this.pending.shift(); next; next = this.pending.shift()) {
             const message = next;
-            this.handlers.get(message.kind)?.forEach(handler => handler(message));
+            this.handlers.get(message.kind)?.forEach(handler => {
+                try {
+                    handler(message);
+                }
+                catch (error) {
+                    errors.push(error);
+                }
+            });
         }
+        return errors;
     }
 }
--- a/src/tasks/node.ts
+++ b/src/tasks/node.ts
@@ -55,7 +55,7 @@
             settings.platform,
             bus,
             sampleRandom,
-            clock.readMonotonicMs,
+            clock,
         );
         this.listeners = new Listeners(settings.listen, ingress, egress);
         this.control = new Control(settings.listen.control, {
--- a/src/tasks/platform/index.ts
+++ b/src/tasks/platform/index.ts
@@ -3,9 +3,12 @@
 import { z } from "zod";
 import { checkShape } from "../../_lib/checkShape";
 import { parseJson } from "../../_lib/parseJson";
+import { readLimitedText } from "../../_lib/readLimitedText";
 import { platformLongPollMs, platformRequestTimeoutMs, platformRetryMaxMs, platformRetryMinMs } from "../../constants";
 import { type Settings } from "../../settings/types";
-import { type Instance } from "../../types";
+import { type Checked, type Fault, type Instance } from "../../types";
+import { type Clock } from "../_lib/clock";
+import { SupervisedLoop } from "../_lib/supervisedLoop";
 import { type MessageBus } from "../messages";
 
 /** Value of a key, with the revision that wrote it. */
@@ -31,6 +34,9 @@
 const revisionHeader = "x-revision";
 const statusOk = 200;
 const statusNotModified = 304;
+/** Longest answer that is read, in bytes; values are at most 1 MiB. */
+const maxAnswerBytes = 16 * 1024 * 1024;
+const revisionSchema = z.string().regex(/^\d+$/u, "expected a whole number").transform(Number).pipe(z.int());
 
 /** Reads values over HTTP; the service delays its answer until there is a newer value (long polling). */
 export class HttpPlatform implements Platform {
@@ -47,14 +53,17 @@
                 headersTimeout: platformRequestTimeoutMs,
                 bodyTimeout: platformRequestTimeoutMs,
             });
-            const text = await answer.body.text();
+            const text = await readLimitedText(answer.body, maxAnswerBytes);
             if (answer.statusCode === statusNotModified) {
                 return { kind: "unchanged" };
             }
             if (answer.statusCode !== statusOk) {
                 return { kind: "unreachable", detail: `status ${answer.statusCode}` };
             }
-            return { kind: "value", value: { revision: Number(answer.headers[revisionHeader]), text } };
+            const revision = checkShape(revisionSchema, answer.headers[revisionHeader]);
+            return revision.ok
+                ? { kind: "value", value: { revision: revision.value, text } }
+                : { kind: "unreachable", detail: `${revisionHeader}: ${revision.faults[0]!.message}` };
         }
         catch (error) {
             return { kind: "unreachable", detail: (error as Error).message };
@@ -67,26 +76,51 @@
     }
 }
 
-const addressSchema = z.object({ host: z.string(), port: z.int() });
-const instancesSchema = z.array(z.object({
+const maxPort = 65_535;
+const addressSchema = z.object({ host: z.ipv4(), port: z.int().min(1).max(maxPort) });
+const instanceSchema: z.ZodType<Instance> = z.object({
     endpoint: z.string(),
     service: z.string(),
     failureDomain: z.string(),
     peer: addressSchema,
     control: addressSchema,
     state: z.enum(["live", "leaving"]),
-}));
+});
+const listSchema = z.array(z.unknown());
+
+/** An instance list as far as it can be read. */
+export interface ParsedInstances {
+    readonly instances: readonly Instance[];
+    /** Faults of the items that are left out, with their paths in the list. */
+    readonly faults: readonly Fault[];
+}
 
-/** Parses an instance list; returns undefined if the text is not valid. */
-export const parseInstances = (text: string): readonly Instance[] | undefined => {
+/** Parses an instance list; items that are not valid are left out. Returns faults if the text is no list. */
+export const parseInstances = (text: string): Checked<ParsedInstances> => {
     const parsed = parseJson(text);
-    const checked = parsed.ok ? checkShape(instancesSchema, parsed.value) : parsed;
-    return checked.ok ? checked.value : undefined;
+    const list = parsed.ok ? checkShape(listSchema, parsed.value) : parsed;
+    if (!list.ok) {
+        return list;
+    }
+    const checkedItems = list.value.map(item => checkShape(instanceSchema, item));
+    return {
+        ok: true,
+        value: {
+            instances: checkedItems.flatMap(checked => checked.ok ? [checked.value] : []),
+            faults: checkedItems.flatMap((checked, index) =>
+                checked.ok ? [] : [{ ...checked.faults[0]!, path: `$[${index}]${checked.faults[0]!.path.slice(1)}` }]
+            ),
+        },
+    };
 };
 
+/** Time that a read of the platform may take beyond its wait and its timeouts, in milliseconds. */
+const turnMarginMs = 5_000;
+
 /** Watches the policy log and the instance list, and publishes each new value and whether the platform is reachable. */
 export class PlatformTask {
     private stopped = false;
+    private readonly loops: SupervisedLoop[] = [];
     private isReachable: boolean | undefined;
 
     constructor(
@@ -94,13 +128,16 @@
         private readonly settings: Settings["platform"],
         private readonly bus: MessageBus,
         private readonly sampleRandom: () => number,
-        private readonly readMonotonicMs: () => number,
+        private readonly clock: Clock,
     ) {
-        bus.subscribe("paused", () => void this.readInstancesNow());
+        bus.subscribe("paused", () => {
+            this.readInstancesNow().catch((error: unknown) => this.recordFailure("instances", error as Error));
+        });
     }
 
     start(): void {
-        void this.watch(
+        this.watch(
+            "policy",
             this.settings.policyKey,
             value =>
                 this.bus.publish({
@@ -110,18 +147,19 @@
                     source: "platform",
                 }),
         );
-        void this.watch(this.settings.instancesKey, value => this.publishInstances(value));
+        this.watch("instances", this.settings.instancesKey, value => this.publishInstances(value));
     }
 
     async stop(): Promise<void> {
         this.stopped = true;
+        this.loops.forEach(loop => loop.stop());
         await this.platform.close();
     }
 
     /** Reads the instance list without waiting for a newer one; retries until the platform returns it. */
     private async readInstancesNow(): Promise<void> {
         for (let failures = 1; !this.stopped; failures += 1) {
-            const queriedAtMs = this.readMonotonicMs();
+            const queriedAtMs = this.clock.readMonotonicMs();
             const read = await this.platform.read(this.settings.instancesKey, 0, 0);
             if (read.kind === "value") {
                 this.publishInstances(read.value);
@@ -132,22 +170,24 @@
         }
     }
 
-    private publishInstances(value: PlatformValue): void {
-        const instances = parseInstances(value.text);
-        if (instances) {
-            this.bus.publish({ kind: "instancesRead", instances, revision: value.revision });
-            return;
+    private publishInstances({ text, revision }: PlatformValue): void {
+        const parsed = parseInstances(text);
+        const faults = parsed.ok ? parsed.value.faults : parsed.faults;
+        const [fault] = faults;
+        if (fault) {
+            const fields = { revision, path: fault.path, fault: fault.message, count: faults.length };
+            this.bus.publish({ kind: "audited", audit: { event: "instances-unreadable", fields } });
+        }
+        if (parsed.ok) {
+            this.bus.publish({ kind: "instancesRead", instances: parsed.value.instances, revision });
         }
-        this.bus.publish({
-            kind: "audited",
-            audit: { event: "instances-unreadable", fields: { revision: value.revision } },
-        });
     }
 
-    private async watch(key: string, onValue: (value: PlatformValue) => void): Promise<void> {
+    /** Passes each newer value of a key on, until the task is stopped. A value that can't be handled is reported. */
+    private watch(task: string, key: string, onValue: (value: PlatformValue) => void): void {
         let revision = 0;
         let failures = 0;
-        while (!this.stopped) {
+        const runTurn = async (): Promise<void> => {
             const read = await this.platform.read(key, revision, platformLongPollMs);
             if (this.stopped) {
                 return;
@@ -156,14 +196,24 @@
             if (read.kind === "unreachable") {
                 failures += 1;
                 await this.awaitBackoff(failures);
-                continue;
+                return;
             }
             failures = 0;
             if (read.kind === "value" && read.value.revision > revision) {
                 revision = read.value.revision;
                 onValue(read.value);
             }
-        }
+        };
+        const maxTurnMs = platformLongPollMs + 2 * platformRequestTimeoutMs + platformRetryMaxMs + turnMarginMs;
+        const onFailed = (error: Error): void => this.recordFailure(task, error);
+        const loop = new SupervisedLoop(runTurn, { clock: this.clock, maxTurnMs, onFailed });
+        this.loops.push(loop);
+        loop.start();
+    }
+
+    private recordFailure(task: string, { stack, message }: Error): void {
+        const fields = { task, detail: stack ?? message };
+        this.bus.publish({ kind: "audited", audit: { event: "learning-failed", fields } });
     }
 
     private publishReachability(read: PlatformRead): void {
--- a/src/tasks/policySync/index.ts
+++ b/src/tasks/policySync/index.ts
@@ -3,6 +3,8 @@
  * unreachable or returns an older one.
  */
 import { createTRPCClient, httpLink } from "@trpc/client";
+import { z } from "zod";
+import { checkShape } from "../../_lib/checkShape";
 import { noticeTimeoutMs, policySyncIntervalMs } from "../../constants";
 import { chooseSyncPeer } from "../../decisions/chooseSyncPeer";
 import { type Settings } from "../../settings/types";
@@ -23,11 +25,17 @@
 /** Reads the policy of other nodes over tRPC; each query times out after `noticeTimeoutMs`. */
 export class TrpcPolicyPeer implements PolicyPeer {
     async readVersion(address: Address): Promise<VersionReport | undefined> {
-        return await runQuery(() => createClient(address).version.query(undefined, createQueryOptions()));
+        return await runQuery(
+            () => createClient(address).version.query(undefined, createQueryOptions()),
+            versionSchema,
+        );
     }
 
     async readLog(address: Address): Promise<string | undefined> {
-        const log = await runQuery(() => createClient(address).policyLog.query(undefined, createQueryOptions()));
+        const log = await runQuery(
+            () => createClient(address).policyLog.query(undefined, createQueryOptions()),
+            logSchema,
+        );
         return log?.text;
     }
 }
@@ -37,9 +45,14 @@
 const createClient = (address: Address) =>
     createTRPCClient<ControlRouter>({ links: [httpLink({ url: `http://${address.host}:${address.port}/trpc` })] });
 
-const runQuery = async <Value>(query: () => Promise<Value>): Promise<Value | undefined> => {
+const versionSchema = z.object({ endpoint: z.string(), version: z.int().min(0), digest: z.string() });
+const logSchema = z.object({ text: z.string().optional() });
+
+/** Runs a query; resolves to undefined if it fails or if its answer isn't one of a node. */
+const runQuery = async <Value>(query: () => Promise<unknown>, schema: z.ZodType<Value>): Promise<Value | undefined> => {
     try {
-        return await query();
+        const checked = checkShape(schema, await query());
+        return checked.ok ? checked.value : undefined;
     }
     catch {
         return undefined;
@@ -111,6 +124,11 @@
         }
     }
 
+    private recordFailure({ stack, message }: Error): void {
+        const fields = { task: "policy-sync", detail: stack ?? message };
+        this.dependencies.bus.publish({ kind: "audited", audit: { event: "learning-failed", fields } });
+    }
+
     /** Chooses a random seed node of the settings, for when the instance list contains no other node. */
     private chooseSeed(): Address | undefined {
         const { seeds } = this.dependencies.settings;
@@ -120,11 +138,13 @@
     private scheduleNext(meanMs: number): void {
         const waitMs = meanMs * (0.5 + this.dependencies.sampleRandom());
         this.timer = setTimeout(() => {
-            void this.compareOnce().finally(() => {
-                if (!this.stopped) {
-                    this.start();
-                }
-            });
+            this.compareOnce()
+                .catch((error: unknown) => this.recordFailure(error as Error))
+                .finally(() => {
+                    if (!this.stopped) {
+                        this.start();
+                    }
+                });
         }, waitMs);
         this.timer.unref();
     }
