--- a/src/tasks/platform/test.ts
+++ b/src/tasks/platform/test.ts
@@ -72,8 +72,8 @@
         const platform = new FakePlatform([createValue(1, "a"), { kind: "unchanged" }, createValue(2, "b")]);
         const settings = {
             ...createSettings("desk-a", "desk", "zone-a", 0).platform,
-            policyKey: "key",
-            instancesKey: "key",
+            policyKey,
+            instancesKey: "instances",
         };
         const task = new PlatformTask(platform, settings, bus, () => 0, systemClock);
         task.start();
