Bound the calls of a watching node whatever other programs write

Cause: a watch was sent again at once unless its answer had changed the list, so that another program's writes set the rate of calls: 2,000 calls in 10 s of 4 watching nodes at 50 writes a second that concern no node. The platform answers 429 beyond its limit, to all nodes. Change: the pause of 0.4 s follows every answer that brings a newer revision. Ruled out by tests that pass before as well: 20 entries without a node delay changes (850 ms at most) or multiply calls (60 to 112 in 30 s). Before: the new test fails (2,000 calls, 120 allowed); after: it passes.

--- a/src/relay/fleet/fleetTracker.ts
+++ b/src/relay/fleet/fleetTracker.ts
@@ -245,7 +245,7 @@
     }
 
     private async watchStore(state: FleetState): Promise<void> {
-        const { serial } = state.view;
+        const { position } = state.view;
         const askedAt = state.proof.readNow();
         const waitMs = state.isReadingStore ? storeWaitMs : catchUpWaitMs;
         const reading = await this.readStore(state, waitMs);
@@ -260,7 +260,8 @@
             return;
         }
         state.reportPlace(platformPlace, "watches it for other nodes");
-        if (state.view.serial !== serial) {
+        // Also when the change is another program's and concerns no node.
+        if (state.view.position?.revision !== position?.revision) {
             await awaitDelay(this.options.clock, changeBatchMs);
         }
     }
--- a/src/relay/fleet/ghosts.test.ts
+++ b/src/relay/fleet/otherWriters.test.ts
@@ -1,4 +1,4 @@
-/** Load pattern: the store lists entries whose hosts have no node, or one that never answers. */
+/** Load pattern: other programs write to the store, entries whose hosts have no node, or without end. */
 import { VirtualTrackers } from "../../testing/virtualTrackers";
 
 const adoptionMs = 2_000;
@@ -41,6 +41,33 @@
     return fleet.store.callCount - before;
 };
 
+describe("a fleet beside a program that writes to the store without end", () => {
+    /** Writes 50 keys a second that change nothing for the nodes. */
+    const writeFor = async (durationMs: number): Promise<void> => {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 20) {
+            fleet.store.remove("odd");
+            await fleet.runFor(20);
+        }
+    };
+
+    // Guards against watches that are answered and sent again at the rate of another program's writes.
+    it("makes no more calls to the store than a few a second for each node that watches it", async () => {
+        await startFleet();
+        const before = fleet.store.callCount;
+        await writeFor(10_000);
+        const watchers = 4;
+        expect(fleet.store.callCount - before).toBeLessThanOrEqual(watchers * 10 * 3);
+    });
+
+    it("learns a change in time", async () => {
+        await startFleet();
+        await writeFor(3_000);
+        fleet.store.publishVersion(2);
+        await writeFor(adoptionMs);
+        expect(fleet.nodes.filter(({ table }) => table?.version !== 2)).toEqual([]);
+    });
+});
+
 describe("a fleet with entries that have no node behind them", () => {
     // Guards against nodes that learn late because they wait for hosts that never answer.
     it("learns each change in time", async () => {
