--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -1,7 +1,7 @@
 /** Callers on all nodes over kept connections, and the platform's question whether each node is ready. */
-import { Agent, request as sendRequest } from "node:http";
-import { headerNames } from "../../platform/headerNames";
-import { derivePorts, type OperatorRoute } from "../../platform/testing/platformFiles";
+import { Agent } from "node:http";
+import { type OperatorRoute } from "../../platform/testing/platformFiles";
+import { sendToNode } from "../_lib/sendToNode";
 import { isNodeReady } from "../_lib/targetNode";
 import { type Machine, type SoakFleet } from "./soakFleet";
 import { type ReadyProbe, type SoakCall } from "./types";
@@ -76,47 +76,28 @@
         agent.destroy();
     }
 
-    private sendCall({ place }: Machine, route: OperatorRoute, agent: Agent): Promise<SoakCall> {
+    private async sendCall({ place }: Machine, route: OperatorRoute, agent: Agent): Promise<SoakCall> {
         this.requestCount += 1;
         const requestId = `r-${this.requestCount}`;
         const sentAtMs = Date.now();
-        const { name, idempotent } = route;
-        return new Promise(resolve => {
-            const finish = (status: number, isWhole: boolean): void =>
-                resolve({
-                    requestId,
-                    node: place.name,
-                    route: name,
-                    idempotent,
-                    sentAtMs,
-                    endedAtMs: Date.now(),
-                    status,
-                    isWhole,
-                });
-            const request = sendRequest({
-                host: place.host,
-                port: derivePorts(place).entry,
-                method: idempotent ? "GET" : "POST",
-                path: `${route.prefix}1`,
-                agent,
-                timeout: 2 * deadlineMs,
-                headers: {
-                    Host: route.host,
-                    [headerNames.requestId]: requestId,
-                    [headerNames.deadline]: String(deadlineMs),
-                },
-            }, response => {
-                const chunks: Buffer[] = [];
-                response.on("data", (chunk: Buffer) => chunks.push(chunk));
-                response.once("error", () => finish(0, false));
-                response.once(
-                    "end",
-                    () => finish(response.statusCode!, Buffer.concat(chunks).toString() === requestId),
-                );
-            });
-            request.once("timeout", () => request.destroy());
-            request.once("error", () => finish(0, false));
-            request.end(idempotent ? undefined : "y");
+        const { name, idempotent, prefix } = route;
+        const { status, body } = await sendToNode(place, {
+            route,
+            requestId,
+            path: `${prefix}1`,
+            agent,
+            deadlineMs,
+            body: idempotent ? undefined : "y",
         });
+        return {
+            requestId,
+            node: place.name,
+            route: name,
+            idempotent,
+            sentAtMs,
+            endedAtMs: Date.now(),
+            status,
+            isWhole: body === requestId,
+        };
     }
 }
--- a/bench/upgrade/upgradeCallers.ts
+++ b/bench/upgrade/upgradeCallers.ts
@@ -1,7 +1,7 @@
 /** Callers that keep sending over kept connections while nodes are replaced. */
-import { Agent, request as sendRequest } from "node:http";
-import { headerNames } from "../../platform/headerNames";
-import { derivePorts, type OperatorRoute } from "../../platform/testing/platformFiles";
+import { Agent } from "node:http";
+import { type OperatorRoute } from "../../platform/testing/platformFiles";
+import { sendToNode } from "../_lib/sendToNode";
 import { type Build, longBody, type UpgradeFleet, type UpgradeNode } from "./upgradeFleet";
 
 /** A request and what its caller got; `status` is 0 without a complete answer. */
@@ -26,37 +26,15 @@
 const longRequest = "y".repeat(100_000);
 
 /** Sends one request; never rejects. */
-export const sendOnce = (
+export const sendOnce = async (
     node: UpgradeNode,
     route: OperatorRoute,
     requestId: string,
     options: { readonly agent: Agent | false; readonly path: string; readonly body?: string; },
 ): Promise<CallRecord> => {
-    const { idempotent } = route;
     const build = node.build.name;
-    return new Promise(resolve => {
-        const finish = (status: number, body: string): void =>
-            resolve({ requestId, idempotent, build, status, isWhole: body === requestId || body === longBody });
-        const request = sendRequest({
-            host: node.place.host,
-            port: derivePorts(node.place).entry,
-            method: idempotent ? "GET" : "POST",
-            path: options.path,
-            agent: options.agent,
-            headers: {
-                Host: route.host,
-                [headerNames.requestId]: requestId,
-                [headerNames.deadline]: String(deadlineMs),
-            },
-        }, response => {
-            const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
-            response.once("error", () => finish(0, ""));
-            response.once("end", () => finish(response.statusCode!, Buffer.concat(chunks).toString()));
-        });
-        request.once("error", () => finish(0, ""));
-        request.end(options.body);
-    });
+    const { status, body } = await sendToNode(node.place, { ...options, route, requestId, deadlineMs });
+    return { requestId, idempotent: route.idempotent, build, status, isWhole: body === requestId || body === longBody };
 };
 
 /** Runs callers at each node, which leave it as the platform's clients do. */
