--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -46,6 +46,8 @@
 const calmMs = 4_000;
 const msPerSecond = 1_000;
 const shownFaults = 30;
+const stopSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
+const abortedExitCode = 2;
 
 const awaitDelay = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
 
@@ -62,6 +64,11 @@
         sampleRandom: createRandom(seed),
         onEvent: text => eventLog.write(`${new Date().toISOString()} ${text}\n`),
     });
+    const abort = (): void => {
+        fleet.abort();
+        process.exit(abortedExitCode);
+    };
+    stopSignals.forEach(signal => process.once(signal, abort));
     try {
         await fleet.start(routes);
         const calling = callers.run();
@@ -75,6 +82,7 @@
         await calling;
     }
     finally {
+        stopSignals.forEach(signal => process.off(signal, abort));
         await fleet.stop();
         eventLog.end();
     }
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -171,6 +171,11 @@
         this.disruptions.push({ place, kind, fromMs, toMs: Date.now() });
     }
 
+    /** Ends all processes at once, without waiting for their end. */
+    abort(): void {
+        this.machines.forEach(({ child }) => child?.kill("SIGKILL"));
+    }
+
     /** Ends all processes that were started. */
     async stop(): Promise<void> {
         const running = this.machines.filter(({ child }) => child && isRunning(child));
