--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,12 @@
 /** Command line of the benchmarks and experiments. */
 import { cac } from "cac";
+import { oddEntryKinds } from "../platform/testing/oddEntries";
 import { runCapacity } from "./capacity";
 import { runDemo } from "./demo";
 import { runLatency } from "./latency";
 import { runLimits } from "./limits";
 import { runLoads } from "./loads";
 import { reportSoak } from "./soak";
-import { oddEntryKinds } from "./soak/oddEntries";
 import { soakKinds } from "./soak/types";
 import { runUpgrade } from "./upgrade";
 import { runVirtual } from "./virtual";
--- a/bench/soak/otherPrograms.ts
+++ b/bench/soak/otherPrograms.ts
@@ -2,8 +2,8 @@
 import { once } from "node:events";
 import { createServer as createHttpServer } from "node:http";
 import { createServer, type Server } from "node:net";
+import { otherProgramHosts } from "../../platform/testing/oddEntries";
 import { portsPerPlace } from "../../platform/testing/platformFiles";
-import { otherProgramHosts } from "./oddEntries";
 
 const odd = "[".repeat(2_000) + "]".repeat(2_000);
 /** Answers to control queries; most have the shape of a result, with content that no node would send. */
--- a/bench/soak/soakEvents.ts
+++ b/bench/soak/soakEvents.ts
@@ -1,6 +1,6 @@
 /** Events that a soak plays: changes, leavings, disruptions and entries of another writer, in a seeded order. */
+import { sampleOddEntry } from "../../platform/testing/oddEntries";
 import { type OperatorRoute } from "../../platform/testing/platformFiles";
-import { sampleOddEntry } from "./oddEntries";
 import { type Machine, type SoakFleet } from "./soakFleet";
 import { type ProxyMode } from "./storeProxy";
 import { type SoakKind } from "./types";
--- a/bench/soak/storeProxy.ts
+++ b/bench/soak/storeProxy.ts
@@ -1,6 +1,7 @@
 /** TCP proxy between a node and the store. It can hold all bytes back, only those of watches, or reset connections. */
 import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
+import { storeWatchPath } from "../../platform/testing/platformFiles";
 
 /** How connections are treated; "silent-watch" holds back the answers on connections that have carried a watch. */
 export type ProxyMode = "open" | "cut" | "silent-watch" | "refusal";
@@ -11,8 +12,6 @@
     hasWatch: boolean;
 }
 
-const watchPath = "/api/kv-watch";
-
 /** Passes the bytes of a node's connections to the store on. */
 export class StoreProxy {
     private mode: ProxyMode = "open";
@@ -52,7 +51,7 @@
         const pair: Pair = { client, server, hasWatch: false };
         this.pairs.add(pair);
         client.on("data", (bytes: Buffer) => {
-            pair.hasWatch ||= bytes.includes(watchPath);
+            pair.hasWatch ||= bytes.includes(storeWatchPath);
             this.applyMode(pair);
             server.write(bytes);
         });
--- a/bench/soak/test.ts
+++ b/bench/soak/test.ts
@@ -1,9 +1,9 @@
 import { spawnSync } from "node:child_process";
 import { cpSync, mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
+import { oddEntryKinds } from "../../platform/testing/oddEntries";
 import { runSoak } from "./index";
 import { type SoakBounds } from "./judgeSoak";
-import { oddEntryKinds } from "./oddEntries";
 import { soakKinds } from "./types";
 
 const root = `${__dirname}/../..`;
