--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -3,6 +3,7 @@
 import { type OperatorRoute } from "../../platform/testing/platformFiles";
 import { createRandom } from "../../src/_lib/createRandom";
 import { renderTable } from "../../src/commands/_lib/renderTable";
+import { awaitDelay } from "../_lib/awaitDelay";
 import { findProgram } from "../_lib/targetNode";
 import { judgeSoak, type SoakBounds, type SoakFault } from "./judgeSoak";
 import { SoakCallers } from "./soakCallers";
@@ -49,8 +50,6 @@
 const stopSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
 const abortedExitCode = 2;
 
-const awaitDelay = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 /** Plays a soak; the nodes' logs and the list of events are written to the folder. */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
     const { seed, seconds, nodes, workTrees, firstPort, outFolder, kinds, entryKinds } = options;
--- a/bench/soak/soakEvents.ts
+++ b/bench/soak/soakEvents.ts
@@ -1,6 +1,7 @@
 /** Events that a soak plays: changes, leavings, disruptions and entries of another writer, in a seeded order. */
 import { sampleOddEntry } from "../../platform/testing/oddEntries";
 import { type OperatorRoute } from "../../platform/testing/platformFiles";
+import { awaitDelay } from "../_lib/awaitDelay";
 import { type Machine, type SoakFleet } from "./soakFleet";
 import { type ProxyMode } from "./storeProxy";
 import { type SoakKind } from "./types";
@@ -25,8 +26,6 @@
 /** Time after which upstreams write their entries again when the store is back, in milliseconds. */
 const renewalMs = 700;
 
-const awaitDelay = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 /** Plays events until it is ended. */
 export class SoakEvents {
     private isEnded = false;
--- a/bench/upgrade/index.ts
+++ b/bench/upgrade/index.ts
@@ -1,6 +1,7 @@
 /** Replaces the nodes of one build by those of another one by one under load, and back. */
 import { type OperatorRoute } from "../../platform/testing/platformFiles";
 import { renderTable } from "../../src/commands/_lib/renderTable";
+import { awaitDelay } from "../_lib/awaitDelay";
 import { findProgram } from "../_lib/targetNode";
 import { judgeUpgrade } from "./judgeUpgrade";
 import { sendOnce, UpgradeCallers } from "./upgradeCallers";
@@ -27,8 +28,6 @@
 const okStatus = 200;
 const shownFaults = 20;
 
-const awaitDelay = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 /** Publishes a version with a route of its own; returns the nodes that don't serve that route in time. */
 const checkAdoption = async (fleet: UpgradeFleet, version: number): Promise<readonly string[]> => {
     const route = { ...routes[0]!, name: `v-${version}`, prefix: `/v-${version}/` };
--- a/src/relay/control/changesClient.ts
+++ b/src/relay/control/changesClient.ts
@@ -1,6 +1,7 @@
 /** Asks other nodes for changes of the fleet view, over one kept connection to each node that is asked. */
 import { LRUCache } from "lru-cache";
-import { type Checked, type Fault } from "../../types";
+import { formatFault } from "../../_lib/formatFault";
+import { type Checked } from "../../types";
 import { type ChangesClient, type ChangesQuery, type FleetChanges, type TableAnswer } from "../fleet/types";
 import { checkChanges, checkTableAnswer } from "./checkAnswers";
 import { ControlConnection } from "./client";
@@ -74,5 +75,3 @@
         this.onFailed(host, detail);
     }
 }
-
-const formatFault = ({ path, message }: Fault): string => `${path}: ${message}`;
--- a/src/relay/control/checkAnswers.ts
+++ b/src/relay/control/checkAnswers.ts
@@ -1,6 +1,7 @@
 /** Checks the answers of other nodes. Another build may have sent them, or another program at a node's address. */
 import * as z from "zod";
 import { checkShape } from "../../_lib/checkShape";
+import { countSchema } from "../../_lib/numberSchemas";
 import { goneRecordSchema, routingTableSchema, storePositionSchema, upstreamRecordSchema } from "../../routing/schema";
 import { type Checked, type Fault } from "../../types";
 import { type FleetChanges, type TableAnswer } from "../fleet/types";
@@ -9,7 +10,6 @@
 /** Called with the fault of an item that is left out. */
 type FaultListener = (fault: Fault) => void;
 
-const countSchema = z.int().min(0);
 const itemsSchema = z.array(z.unknown());
 const batchSchema = z.object({
     position: storePositionSchema,
--- a/src/relay/fleet/peerLookup.ts
+++ b/src/relay/fleet/peerLookup.ts
@@ -1,8 +1,8 @@
 /** Finds other nodes when a node starts, and takes over the view of one of them. */
-import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+import { awaitDelay } from "../../tasks/_lib/clock";
 import { type Instant } from "../../types";
 import { type FleetState } from "./fleetState";
-import { type ChangesClient, type StoreReader, type StoreReading } from "./types";
+import { type LearningMeans, type StoreReading } from "./types";
 
 /** Longest time for which a starting node looks for other nodes to ask, and the mean pause, in milliseconds. */
 const maxLookupMs = 5_000;
@@ -11,14 +11,9 @@
 const maxVainLookups = 3;
 
 /** Means to look for other nodes. */
-export interface PeerLookupOptions {
+export interface PeerLookupOptions extends LearningMeans {
     /** Whether the whole fleet starts for the first time, so that no request is waiting yet. */
     readonly isFirstStart: boolean;
-    readonly reader: StoreReader;
-    readonly client: ChangesClient;
-    readonly clock: Clock;
-    /** Returns a random number in [0, 1). */
-    readonly sampleRandom: () => number;
 }
 
 /**
--- a/src/relay/fleet/storeCheck.ts
+++ b/src/relay/fleet/storeCheck.ts
@@ -1,18 +1,14 @@
 /** Checks now and then whether a node that asks other nodes is behind the store. */
 import { comparePositions } from "../../decisions/comparePositions";
 import { type StorePosition } from "../../routing/types";
-import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
-import { type StoreReader } from "./types";
+import { awaitDelay } from "../../tasks/_lib/clock";
+import { type LearningMeans } from "./types";
 
 /** Mean interval between two checks, in milliseconds. */
 const intervalMs = 3_000;
 
 /** Means to check, and what is checked. */
-export interface StoreCheckOptions {
-    readonly reader: StoreReader;
-    readonly clock: Clock;
-    /** Returns a random number in [0, 1). */
-    readonly sampleRandom: () => number;
+export interface StoreCheckOptions extends Omit<LearningMeans, "client"> {
     /** Returns the position up to which the node knows the store; undefined if it needn't be checked. */
     readonly readOwnPosition: () => StorePosition | undefined;
     /** Called when the store has been further than the node for a whole interval. */
--- a/src/relay/fleet/tableProver.ts
+++ b/src/relay/fleet/tableProver.ts
@@ -1,8 +1,8 @@
 /** Renews the proof that the routing table of this node is the newest, while requests carry keys. */
-import { awaitDelay, type Clock } from "../../tasks/_lib/clock";
+import { awaitDelay } from "../../tasks/_lib/clock";
 import { type SourceListener } from "../source";
 import { type FleetState } from "./fleetState";
-import { type ChangesClient, type StoreReader } from "./types";
+import { type LearningMeans } from "./types";
 
 /** Mean interval between checks of the proof's age, in milliseconds. */
 const checkIntervalMs = 250;
@@ -14,12 +14,8 @@
 const maxReadMs = 4_000;
 
 /** Means to renew the proof. */
-export interface TableProverOptions {
+export interface TableProverOptions extends LearningMeans {
     readonly host: string;
-    readonly reader: StoreReader;
-    readonly client: ChangesClient;
-    readonly clock: Clock;
-    readonly sampleRandom: () => number;
 }
 
 /**
@@ -28,8 +24,8 @@
  */
 export class TableProver {
     private isStopped = false;
-    /** Monotonic time at which the read of the store under way began, in milliseconds; undefined if there is none. */
-    private readingSinceMs: number | undefined;
+    /** Monotonic time at which the read of the store under way began, in milliseconds; -Infinity if there is none. */
+    private readingSinceMs = -Infinity;
     private hasStoreFailed = false;
 
     constructor(
@@ -53,8 +49,7 @@
 
     /** Reads the store, and asks another node while the store doesn't answer. */
     private async updateProof(): Promise<void> {
-        const readingMs = this.options.clock.readMonotonicMs() - (this.readingSinceMs ?? Infinity);
-        const isReadingStore = this.readingSinceMs !== undefined && readingMs < maxReadMs;
+        const isReadingStore = this.options.clock.readMonotonicMs() - this.readingSinceMs < maxReadMs;
         const isStoreSilent = isReadingStore || this.hasStoreFailed;
         if (!isReadingStore) {
             this.readStore().catch((error: unknown) => {
@@ -82,7 +77,7 @@
             }
         }
         finally {
-            this.readingSinceMs = undefined;
+            this.readingSinceMs = -Infinity;
         }
     }
 
--- a/src/relay/fleet/types.ts
+++ b/src/relay/fleet/types.ts
@@ -1,5 +1,6 @@
 /** Types of what a node knows of the fleet, and of the ways in which it learns changes. */
 import { type GoneRecord, type RoutingTable, type StorePosition, type UpstreamRecord } from "../../routing/types";
+import { type Clock } from "../../tasks/_lib/clock";
 
 /** Records that were read together; a batch that isn't full lists only what has changed before its position. */
 export interface FleetBatch {
@@ -95,6 +96,15 @@
     readonly table: RoutingTable | undefined;
 }
 
+/** Means by which a node learns: the store, other nodes, and its sources of time and chance. */
+export interface LearningMeans {
+    readonly reader: StoreReader;
+    readonly client: ChangesClient;
+    readonly clock: Clock;
+    /** Returns a random number in [0, 1). */
+    readonly sampleRandom: () => number;
+}
+
 /** Asks other nodes for changes; resolves to undefined if a node doesn't answer in time. */
 export interface ChangesClient {
     queryChanges(host: string, query: ChangesQuery): Promise<FleetChanges | undefined>;
--- a/src/relay/viewSync.ts
+++ b/src/relay/viewSync.ts
@@ -1,4 +1,5 @@
 /** Fetches the fleet view from nodes that use a higher routing version than this node. */
+import { formatFault } from "../_lib/formatFault";
 import { type NodeView } from "./control";
 import { queryView } from "./control/client";
 
@@ -37,8 +38,8 @@
 
     private async query(host: string): Promise<void> {
         let detail = "";
-        const view = await queryView({ host, port: this.dependencies.controlPort }, ({ path, message }) => {
-            detail = `${path}: ${message}`;
+        const view = await queryView({ host, port: this.dependencies.controlPort }, fault => {
+            detail = formatFault(fault);
         });
         this.isQuerying = false;
         if (!view) {
--- a/src/routing/schema/index.ts
+++ b/src/routing/schema/index.ts
@@ -1,5 +1,6 @@
 /** Schemas of what nodes take in from the platform and from each other. */
 import * as z from "zod";
+import { countSchema, portSchema } from "../../_lib/numberSchemas";
 import {
     type GoneRecord,
     type Organisation,
@@ -10,7 +11,6 @@
 } from "../types";
 
 const maxNameCharacters = 200;
-const maxPort = 65_535;
 const maxSlots = 1_000_000;
 /** Start times from this one on are no times of a clock, in milliseconds since 1970. */
 const endOfTimeMs = Date.UTC(2100, 0, 1);
@@ -20,7 +20,6 @@
 const nameSchema = z.string().max(maxNameCharacters);
 /** Ids are sent as the value of a header. */
 const idSchema = nameSchema.regex(/^[!-~]+$/u, "expected visible ASCII characters");
-const countSchema = z.int().min(0);
 const startTimeSchema = z.int().min(0).max(endOfTimeMs);
 
 /** Schema of an upstream's record; any record that conforms to it can be ranked, connected to and named in a header. */
@@ -28,7 +27,7 @@
     id: idSchema,
     service: nameSchema.min(1),
     host: z.ipv4().refine(host => !unusableHost.test(host), "expected the address of one host"),
-    port: z.int().min(1).max(maxPort),
+    port: portSchema,
     failureDomain: nameSchema,
     slots: z.int().min(1).max(maxSlots),
     state: z.enum(["ready", "draining", "missing"]),
--- a/src/tasks/_lib/supervisedLoop.ts
+++ b/src/tasks/_lib/supervisedLoop.ts
@@ -1,4 +1,4 @@
-import { type Clock } from "./clock";
+import { awaitDelay, type Clock } from "./clock";
 
 /** Clock of a loop, its longest turn, and where its failures are reported. */
 export interface SupervisedLoopOptions {
@@ -80,9 +80,7 @@
 
     private awaitRetry(): Promise<void> {
         const delayMs = Math.min(maxRetryMs, initialRetryMs * 2 ** (this.failures - 1));
-        return new Promise(resolve => {
-            this.options.clock.startTimeout(delayMs, resolve);
-        });
+        return awaitDelay(this.options.clock, delayMs);
     }
 }
 
--- a/src/tasks/messages.ts
+++ b/src/tasks/messages.ts
@@ -33,6 +33,12 @@
     | { readonly kind: "leavingReported"; readonly endpoint: string; }
     | { readonly kind: "audited"; readonly audit: AuditEvent; };
 
+/** Creates the audit message about a task that could not handle what it has learned. */
+export const createLearningFailure = (task: string, { stack, message }: Error): Message => ({
+    kind: "audited",
+    audit: { event: "learning-failed", fields: { task, detail: stack ?? message } },
+});
+
 type MessageOf<Kind extends Message["kind"]> = Extract<Message, { readonly kind: Kind; }>;
 type MessageHandler = (message: Message) => void;
 
--- a/src/tasks/platform/index.ts
+++ b/src/tasks/platform/index.ts
@@ -2,6 +2,7 @@
 import { type Pool, request } from "undici";
 import { z } from "zod";
 import { checkShape } from "../../_lib/checkShape";
+import { portSchema } from "../../_lib/numberSchemas";
 import { parseJson } from "../../_lib/parseJson";
 import { readLimitedText } from "../../_lib/readLimitedText";
 import { platformLongPollMs, platformRequestTimeoutMs, platformRetryMaxMs, platformRetryMinMs } from "../../constants";
@@ -9,7 +10,7 @@
 import { type Checked, type Fault, type Instance } from "../../types";
 import { type Clock } from "../_lib/clock";
 import { SupervisedLoop } from "../_lib/supervisedLoop";
-import { type MessageBus } from "../messages";
+import { createLearningFailure, type MessageBus } from "../messages";
 
 /** Value of a key, with the revision that wrote it. */
 export interface PlatformValue {
@@ -76,8 +77,7 @@
     }
 }
 
-const maxPort = 65_535;
-const addressSchema = z.object({ host: z.ipv4(), port: z.int().min(1).max(maxPort) });
+const addressSchema = z.object({ host: z.ipv4(), port: portSchema });
 const instanceSchema: z.ZodType<Instance> = z.object({
     endpoint: z.string(),
     service: z.string(),
@@ -211,9 +211,8 @@
         loop.start();
     }
 
-    private recordFailure(task: string, { stack, message }: Error): void {
-        const fields = { task, detail: stack ?? message };
-        this.bus.publish({ kind: "audited", audit: { event: "learning-failed", fields } });
+    private recordFailure(task: string, error: Error): void {
+        this.bus.publish(createLearningFailure(task, error));
     }
 
     private publishReachability(read: PlatformRead): void {
--- a/src/tasks/policySync/index.ts
+++ b/src/tasks/policySync/index.ts
@@ -11,7 +11,7 @@
 import { type Address } from "../../types";
 import { type ControlRouter, type VersionReport } from "../control/router";
 import { type Directory } from "../directory";
-import { type MessageBus } from "../messages";
+import { createLearningFailure, type MessageBus } from "../messages";
 import { type PolicyTask } from "../policy";
 
 /** Client that reads the policy of other nodes. */
@@ -124,11 +124,6 @@
         }
     }
 
-    private recordFailure({ stack, message }: Error): void {
-        const fields = { task: "policy-sync", detail: stack ?? message };
-        this.dependencies.bus.publish({ kind: "audited", audit: { event: "learning-failed", fields } });
-    }
-
     /** Chooses a random seed node of the settings, for when the instance list contains no other node. */
     private chooseSeed(): Address | undefined {
         const { seeds } = this.dependencies.settings;
@@ -139,7 +134,9 @@
         const waitMs = meanMs * (0.5 + this.dependencies.sampleRandom());
         this.timer = setTimeout(() => {
             this.compareOnce()
-                .catch((error: unknown) => this.recordFailure(error as Error))
+                .catch((error: unknown) =>
+                    this.dependencies.bus.publish(createLearningFailure("policy-sync", error as Error))
+                )
                 .finally(() => {
                     if (!this.stopped) {
                         this.start();
