--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -275,7 +275,7 @@
         await Promise.all(this.upstreams.map(upstream => upstream.stop()));
         this.store.close();
         if (process.env["KEEP"] === undefined) {
-            rmSync(this.folder, { recursive: true });
+            rmSync(this.folder, { recursive: true, force: true });
         }
     }
 }
