--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -18,6 +18,8 @@
 const firstCandidatePort = 20_000;
 const lastCandidatePort = 30_000;
 const readyTimeoutMs = 15_000;
+/** Time after which a case is given up. */
+const maxRunMs = 112_000;
 /** Pause of a client between the two chunks of a body. */
 const chunkPauseMs = 20;
 
@@ -357,8 +359,8 @@
     let exitCode = 2;
     const limit = setTimeout(() => {
         deployment.note("the time of the script is over");
-        finish();
-    }, 112_000);
+        void finish();
+    }, maxRunMs);
     const finish = async () => {
         clearTimeout(limit);
         deployment.note(`exit ${exitCode}`);
@@ -366,6 +368,8 @@
         await deployment.close();
         process.exit(exitCode);
     };
+    process.once("SIGTERM", () => void finish());
+    process.once("SIGINT", () => void finish());
     try {
         await deployment.open();
         exitCode = await run() ? 1 : 0;
